--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measured comparisons; none of them is a test."""
--- /dev/null
+++ b/src/chervilpitch/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts and their keys."""
--- /dev/null
+++ b/src/chervilpitch/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line of the program."""
+
+from .main import build_application, main
+
+__all__ = ["build_application", "main"]
--- /dev/null
+++ b/src/chervilpitch/health/__init__.py
@@ -0,0 +1,1 @@
+"""Detection and ejection of upstreams with gray failures."""
--- /dev/null
+++ b/src/chervilpitch/model/refusals.py
@@ -0,0 +1,63 @@
+"""Refusals: why a request was not served and whether it ran."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["Refusal", "RefusalKind", "RunState"]
+
+
+class RunState(StrEnum):
+    """Whether an upstream ran the request."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RUN = "run"
+
+
+class RefusalKind(StrEnum):
+    """Machine-readable reason of a refusal."""
+
+    BAD_REQUEST = "bad-request"
+    BODY_TOO_LARGE = "body-too-large"
+    CALLER_STALLED = "caller-stalled"
+    KEY_MISSING = "key-missing"
+    KEY_UNKNOWN = "key-unknown"
+    KEYS_NOT_FRESH = "keys-not-fresh"
+    NOT_READY = "not-ready"
+    ROUTE_UNKNOWN = "route-unknown"
+    ACCOUNT_NOT_ADMITTED = "account-not-admitted"
+    RATE_EXCEEDED = "rate-exceeded"
+    TOO_MANY_IN_FLIGHT = "too-many-in-flight"
+    TICKET_REQUIRED = "ticket-required"
+    TICKET_INVALID = "ticket-invalid"
+    TICKET_EXPIRED = "ticket-expired"
+    TICKET_OF_OTHER_INSTANCE = "ticket-of-other-instance"
+    REPEAT_IN_PROGRESS = "repeat-in-progress"
+    RECORDS_FULL = "records-full"
+    NO_UPSTREAM = "no-upstream"
+    NO_SLOT = "no-slot"
+    UPSTREAM_SHED = "upstream-shed"
+    UPSTREAM_UNREACHABLE = "upstream-unreachable"
+    UPSTREAM_FAILED = "upstream-failed"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+
+
+class Refusal(NamedTuple):
+    """A typed refusal.
+
+    Parameters
+    ----------
+    kind : RefusalKind
+        Why the request was refused.
+    run : RunState
+        Whether an upstream ran the request; ``NOT_RUN`` only when proved.
+    go_to : tuple of str
+        Callers' addresses to try next, best first.
+    retry_at_s : float or None
+        Monotonic time in seconds before which another try is pointless.
+    """
+
+    kind: RefusalKind
+    run: RunState
+    go_to: tuple[str, ...] = ()
+    retry_at_s: float | None = None
--- /dev/null
+++ b/src/chervilpitch/notes/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes: parse, validate, apply and compare."""
--- /dev/null
+++ b/src/chervilpitch/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and the time line of events."""
--- /dev/null
+++ b/src/chervilpitch/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""The filters of the request path."""
--- /dev/null
+++ b/src/chervilpitch/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes of requests and at-most-once execution."""
--- /dev/null
+++ b/src/chervilpitch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, upstream choice and fleet-wide budgets."""
--- /dev/null
+++ b/src/chervilpitch/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one instance, read from INI."""
--- /dev/null
+++ b/src/chervilpitch/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes from the platform and from peers."""
--- /dev/null
+++ b/src/chervilpitch/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, threads and codecs; holds no policy."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems outside the fleet."""
