Draft the request path: filters, callers' server, upstream and peer clients

Cause: the decisions need a shell that holds sockets and no policy. Conclusion: not wired and not run end to end yet.

--- /dev/null
+++ b/src/chervilpitch/pipeline/application.py
@@ -0,0 +1,182 @@
+"""The WSGI application towards callers."""
+
+import functools
+import json
+import uuid
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from urllib.parse import parse_qs
+
+import structlog
+from result import Result
+
+from chervilpitch.model import Refusal, RefusalKind, RunState
+from chervilpitch.requests import Reply, before_ticket, refusal_reply, replay
+from chervilpitch.transport.bodies import receive_body
+
+from . import filters
+from .deliver import Delivery
+from .exchange import CallerRequest, Exchange
+from .forward import Forwarder
+from .headers import end_to_end, presented_key, sent_by_caller, ticket_text
+from .pipe import run
+
+__all__ = ["ADDRESS_PATH", "CallersApplication"]
+
+log = structlog.get_logger()
+
+ADDRESS_PATH = "/.chervilpitch/addresses"
+
+
+class CallersApplication:
+    """Serves callers' requests and tells callers which addresses to use.
+
+    Parameters
+    ----------
+    decisions : Decisions
+        The decision cores.
+    upstreams : UpstreamClient
+        Connections to upstreams.
+    clock : callable
+        Returns monotonic seconds.
+    max_body_bytes : int
+        Most bytes of a request's body.
+    metrics : object
+        Counters and histograms of the instance.
+    """
+
+    def __init__(self, decisions, upstreams, clock, max_body_bytes, metrics):
+        self._decisions = decisions
+        self._clock = clock
+        self._max_body_bytes = max_body_bytes
+        self._metrics = metrics
+        forwarder = Forwarder(decisions, upstreams, clock)
+        self._filters = (
+            ("identify", functools.partial(filters.identify, decisions)),
+            ("route", functools.partial(filters.match_route, decisions)),
+            ("admit", functools.partial(filters.admit, decisions)),
+            ("remember", functools.partial(filters.remember, decisions)),
+            ("forward", forwarder),
+        )
+
+    def __call__(self, environ, start_response: Callable) -> Iterable[bytes]:
+        """Answer one request."""
+        headers = sent_by_caller(environ)
+        if environ["PATH_INFO"] == ADDRESS_PATH:
+            return self._answer_addresses(environ, headers, start_response)
+        received = self._receive(environ, headers)
+        if received.is_err():
+            return self._refuse(received.unwrap_err(), headers, start_response)
+        exchange = Exchange(received.unwrap())
+        outcome = run(self._filters, exchange, self._clock, self._metrics.filter_took)
+        if outcome.is_err():
+            return self._refuse(outcome.unwrap_err(), headers, start_response)
+        return self._deliver(outcome.unwrap(), start_response)
+
+    def _receive(self, environ, headers) -> Result[CallerRequest, Refusal]:
+        length = _declared_length(environ)
+        stream = environ["wsgi.input"]
+        received = receive_body(stream, length, self._max_body_bytes)
+        return received.map(lambda body: self._request(environ, headers, body))
+
+    def _request(self, environ, headers, body):
+        query = environ["QUERY_STRING"]
+        path = environ["PATH_INFO"]
+        raw_path = environ.get("REQUEST_URI", path).partition("?")[0]
+        return CallerRequest(
+            request_id=uuid.uuid4().hex,
+            method=environ["REQUEST_METHOD"],
+            path=path,
+            query=query,
+            target=f"{raw_path}?{query}" if query else raw_path,
+            headers=end_to_end(headers, body.length),
+            presented_key=presented_key(headers),
+            ticket=ticket_text(headers) or None,
+            body=body,
+            received_at_s=self._clock(),
+        )
+
+    def _deliver(self, exchange, start_response):
+        if exchange.recorded is not None:
+            reply = replay(exchange.recorded, self._clock())
+            return self._send(reply, start_response)
+        delivery = Delivery(self._decisions, exchange, self._clock)
+        answer = exchange.answer
+        headers = _answer_headers(exchange)
+        self._metrics.answered(answer.status)
+        start_response(_status_line(answer.status), list(headers))
+        if exchange.request.method == "HEAD":
+            delivery.close()
+            return []
+        return delivery
+
+    def _refuse(self, refusal, headers, start_response):
+        told = before_ticket(refusal, self._may_have_begun(refusal, headers))
+        self._metrics.refused(refusal.kind.value)
+        reply = refusal_reply(told, self._clock())
+        return self._send(reply, start_response)
+
+    @staticmethod
+    def _may_have_begun(refusal, headers):
+        return bool(ticket_text(headers)) and refusal.kind in BEFORE_TICKET_KINDS
+
+    def _answer_addresses(self, environ, headers, start_response):
+        query = parse_qs(environ["QUERY_STRING"])
+        answer = self._decisions.addresses(
+            presented_key(headers),
+            query.get("path", [""])[0],
+            query.get("near", [""])[0],
+        )
+        if answer.is_err():
+            return self._refuse(answer.unwrap_err(), headers, start_response)
+        body = json.dumps(answer.unwrap()).encode()
+        kind = (("Content-Type", "application/json"), ("Cache-Control", "no-store"))
+        return self._send(Reply(HTTPStatus.OK, kind, body), start_response)
+
+    @staticmethod
+    def _send(reply, start_response):
+        length = ("Content-Length", str(len(reply.body)))
+        start_response(_status_line(reply.status), [*reply.headers, length])
+        return [reply.body]
+
+
+BEFORE_TICKET_KINDS = frozenset(
+    (
+        RefusalKind.BAD_REQUEST,
+        RefusalKind.BODY_TOO_LARGE,
+        RefusalKind.CALLER_STALLED,
+        RefusalKind.KEY_MISSING,
+        RefusalKind.KEY_MALFORMED,
+        RefusalKind.KEY_UNKNOWN,
+        RefusalKind.KEYS_NOT_FRESH,
+        RefusalKind.NOT_READY,
+        RefusalKind.ROUTE_UNKNOWN,
+        RefusalKind.ACCOUNT_NOT_ADMITTED,
+        RefusalKind.RATE_EXCEEDED,
+        RefusalKind.TOO_MANY_IN_FLIGHT,
+    )
+)
+
+
+def _declared_length(environ) -> int | None:
+    if environ.get("HTTP_TRANSFER_ENCODING"):
+        return None
+    return int(environ.get("CONTENT_LENGTH") or 0)
+
+
+def _answer_headers(exchange):
+    length = str(len(exchange.start))
+    kept = [item for item in exchange.answer.headers if item[0].lower() != "date"]
+    names = {name.lower() for name, _ in kept}
+    if exchange.started_whole and "content-length" not in names:
+        kept.append(("Content-Length", length))
+    if "x-request-id" not in names:
+        kept.append(("X-Request-Id", exchange.request.request_id))
+    return kept
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{int(status)} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- /dev/null
+++ b/src/chervilpitch/pipeline/forward.py
@@ -0,0 +1,185 @@
+"""The filter that sends a request to an upstream."""
+
+from collections.abc import Iterator
+
+from result import Err, Ok, Result
+
+from chervilpitch.health import observations
+from chervilpitch.model import Refusal, RefusalKind, RunState
+from chervilpitch.requests import FailureStage, NotRun, Unknown
+from chervilpitch.transport.bodies import CallerStalledError
+from chervilpitch.transport.upstreams import (
+    TruncatedAnswerError,
+    UpstreamFailure,
+    UpstreamRequest,
+)
+
+from .exchange import Exchange
+
+__all__ = ["START_BYTES", "Forwarder"]
+
+START_BYTES = 65_536
+SHED_HEADER = "x-shed"
+DRAINING_HEADER = "x-draining"
+REQUEST_ID_HEADER = "X-Request-Id"
+TIMEOUT_HEADER = "X-Timeout-Ms"
+MS_PER_S = 1_000
+CALLER_FAILURE = UpstreamFailure(FailureStage.SENT, True)
+
+
+class Forwarder:
+    """Reserves an upstream, sends the request and receives the answer's start.
+
+    Parameters
+    ----------
+    decisions : Decisions
+        The decision cores.
+    upstreams : UpstreamClient
+        Connections to upstreams.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, decisions, upstreams, clock):
+        self._decisions = decisions
+        self._upstreams = upstreams
+        self._clock = clock
+
+    def __call__(self, exchange: Exchange) -> Result[Exchange, Refusal]:
+        """Return the exchange with the answer to deliver, or a refusal."""
+        if exchange.recorded is not None:
+            return Ok(exchange)
+        outcome = self._attempts(exchange)
+        if outcome.is_err():
+            self._finish(exchange, outcome.unwrap_err())
+        return outcome
+
+    def _attempts(self, exchange):
+        failed = frozenset()
+        refusal = None
+        while True:
+            reserved = self._decisions.reserve(exchange, failed)
+            if reserved.is_err():
+                return Err(refusal or reserved.unwrap_err())
+            reservation = reserved.unwrap()
+            attempt = self._attempt(exchange._replace(reservation=reservation))
+            if attempt.is_ok():
+                return attempt
+            failure = attempt.unwrap_err()
+            refusal = _refusal_of(failure)
+            failed |= {reservation.upstream}
+            if failure is CALLER_FAILURE or not self._decisions.may_retry(
+                exchange, failure.stage, len(failed)
+            ):
+                return Err(refusal)
+
+    def _attempt(self, exchange) -> Result[Exchange, UpstreamFailure]:
+        timeout_s = exchange.deadline_at_s - self._clock()
+        if timeout_s <= 0:
+            failure = UpstreamFailure(FailureStage.CONNECTED_NOTHING_SENT, True)
+            return self._fail(exchange, failure)
+        sent_at_s = self._clock()
+        try:
+            sent = self._upstreams.send(self._request(exchange, timeout_s))
+        except CallerStalledError:
+            return self._fail(exchange, CALLER_FAILURE)
+        if sent.is_err():
+            return self._fail(exchange, sent.unwrap_err(), sent_at_s)
+        answer = sent.unwrap()
+        headers = {name.lower(): value for name, value in answer.headers}
+        if DRAINING_HEADER in headers:
+            self._decisions.observe(exchange.reservation, observations.DrainingSeen())
+        if answer.status == 503 and headers.get(SHED_HEADER) == "not-run":
+            answer.close()
+            return self._fail(exchange, UpstreamFailure(FailureStage.SHED, False))
+        return self._receive_start(exchange._replace(answer=answer), sent_at_s)
+
+    def _receive_start(self, exchange, sent_at_s):
+        latency_s = self._clock() - sent_at_s
+        start = b""
+        try:
+            while len(start) < START_BYTES:
+                chunk = exchange.answer.read_some()
+                start += chunk
+                if not chunk:
+                    break
+                self._check_deadline(exchange)
+        except TruncatedAnswerError:
+            exchange.answer.close()
+            failure = UpstreamFailure(FailureStage.ANSWER_TRUNCATED, False)
+            return self._fail(exchange, failure)
+        whole = len(start) < START_BYTES
+        return Ok(
+            exchange._replace(start=start, started_whole=whole, latency_s=latency_s)
+        )
+
+    def _check_deadline(self, exchange):
+        if self._clock() > exchange.deadline_at_s:
+            raise TruncatedAnswerError("the deadline passed before the answer's start")
+
+    def _request(self, exchange, timeout_s):
+        request = exchange.request
+        headers = request.headers + (
+            (REQUEST_ID_HEADER, request.request_id),
+            (TIMEOUT_HEADER, str(max(1, int(timeout_s * MS_PER_S)))),
+        )
+        return UpstreamRequest(
+            address=exchange.reservation.address,
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=_body(request.body),
+            timeout_s=timeout_s,
+            connections=exchange.reservation.connections,
+            fresh=not exchange.route.idempotent,
+        )
+
+    def _fail(self, exchange, failure, sent_at_s=None):
+        waited_s = 0.0 if sent_at_s is None else self._clock() - sent_at_s
+        observation = _observation_of(failure, waited_s)
+        self._decisions.release(exchange.reservation, observation)
+        return Err(failure)
+
+    def _finish(self, exchange, refusal):
+        if exchange.record_id is None:
+            return
+        kind = NotRun if refusal.run is RunState.NOT_RUN else Unknown
+        self._decisions.finish(exchange.record_id, kind(refusal.kind))
+
+
+def _body(body) -> bytes | Iterator[bytes] | None:
+    if body.whole is None:
+        return body.chunks()
+    return body.whole or None
+
+
+def _refusal_of(failure: UpstreamFailure) -> Refusal:
+    if failure is CALLER_FAILURE:
+        return Refusal(RefusalKind.CALLER_STALLED, RunState.UNKNOWN)
+    match failure.stage:
+        case FailureStage.NOT_CONNECTED:
+            return Refusal(RefusalKind.UPSTREAM_UNREACHABLE, RunState.NOT_RUN)
+        case FailureStage.CONNECTED_NOTHING_SENT:
+            return Refusal(RefusalKind.DEADLINE_EXCEEDED, RunState.NOT_RUN)
+        case FailureStage.SHED:
+            return Refusal(RefusalKind.UPSTREAM_SHED, RunState.NOT_RUN)
+    if failure.timed_out:
+        return Refusal(RefusalKind.DEADLINE_EXCEEDED, RunState.UNKNOWN)
+    return Refusal(RefusalKind.UPSTREAM_FAILED, RunState.UNKNOWN)
+
+
+def _observation_of(failure: UpstreamFailure, waited_s: float):
+    if failure is CALLER_FAILURE:
+        return observations.Abandoned()
+    match failure.stage:
+        case FailureStage.NOT_CONNECTED:
+            return observations.ConnectFailed()
+        case FailureStage.SHED:
+            return observations.Shed()
+        case FailureStage.ANSWER_TRUNCATED:
+            return observations.Truncated()
+        case FailureStage.CONNECTED_NOTHING_SENT:
+            return observations.Abandoned()
+    if failure.timed_out:
+        return observations.Stalled(waited_s)
+    return observations.ErrorAnswer()
--- /dev/null
+++ b/src/chervilpitch/pipeline/headers.py
@@ -0,0 +1,129 @@
+"""Headers of callers' requests and of answers."""
+
+from collections.abc import Mapping
+
+from chervilpitch.accounts import PresentedKey
+from chervilpitch.transport.upstreams import HOP_BY_HOP, Headers
+
+__all__ = ["end_to_end", "presented_key", "sent_by_caller", "ticket_text"]
+
+KEY_HEADER = "authorization"
+KEY_SCHEME = "bearer"
+TICKET_HEADER = "chervilpitch-ticket"
+OWN_HEADERS = frozenset(
+    (
+        KEY_HEADER,
+        TICKET_HEADER,
+        "content-length",
+        "expect",
+        "x-request-id",
+        "x-timeout-ms",
+    )
+)
+CGI_PREFIX = "HTTP_"
+
+
+def sent_by_caller(environ: Mapping[str, object]) -> Headers:
+    """Return the header fields of a WSGI request.
+
+    Parameters
+    ----------
+    environ : mapping
+        WSGI environment.
+
+    Returns
+    -------
+    tuple of pairs of str
+        Lower-case names and values.
+
+    Examples
+    --------
+    >>> sent_by_caller({"HTTP_ACCEPT": "*/*", "REQUEST_METHOD": "GET"})
+    (('accept', '*/*'),)
+    """
+    fields = [
+        (name.removeprefix(CGI_PREFIX).replace("_", "-").lower(), str(value))
+        for name, value in environ.items()
+        if name.startswith(CGI_PREFIX)
+    ]
+    if environ.get("CONTENT_TYPE"):
+        fields.append(("content-type", str(environ["CONTENT_TYPE"])))
+    return tuple(fields)
+
+
+def presented_key(headers: Headers) -> PresentedKey | None:
+    """Return the key that came with a request.
+
+    Parameters
+    ----------
+    headers : tuple of pairs of str
+        Lower-case names and values from the caller.
+
+    Returns
+    -------
+    PresentedKey or None
+        The key of an ``Authorization: Bearer`` header.
+
+    Examples
+    --------
+    >>> presented_key((("authorization", "Bearer k-123"),))
+    PresentedKey(...)
+    """
+    scheme, _, key = _value(headers, KEY_HEADER).partition(" ")
+    return PresentedKey(key.strip()) if scheme.lower() == KEY_SCHEME else None
+
+
+def ticket_text(headers: Headers) -> str:
+    """Return the ticket that came with a request, empty for none.
+
+    Parameters
+    ----------
+    headers : tuple of pairs of str
+        Lower-case names and values from the caller.
+
+    Returns
+    -------
+    str
+        The text of the ticket.
+    """
+    return _value(headers, TICKET_HEADER)
+
+
+def end_to_end(headers: Headers, body_length: int | None) -> Headers:
+    """Return the headers that go on to an upstream.
+
+    Parameters
+    ----------
+    headers : tuple of pairs of str
+        Lower-case names and values from the caller.
+    body_length : int or None
+        Length of the body in bytes, ``None`` for chunks.
+
+    Returns
+    -------
+    tuple of pairs of str
+        Without hop-by-hop headers, the key, the ticket and the instance's own.
+
+    Examples
+    --------
+    >>> end_to_end((("authorization", "k"), ("accept", "*/*"), ("te", "x")), 0)
+    (('accept', '*/*'),)
+    """
+    named = {
+        word.strip().lower()
+        for name, value in headers
+        if name == "connection"
+        for word in value.split(",")
+    }
+    kept = tuple(
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP | OWN_HEADERS | named
+    )
+    if body_length:
+        return kept + (("content-length", str(body_length)),)
+    return kept
+
+
+def _value(headers, wanted):
+    return next((value for name, value in headers if name == wanted), "")
--- /dev/null
+++ b/src/chervilpitch/transport/codec.py
@@ -0,0 +1,144 @@
+"""Cap'n Proto coding of the messages between instances."""
+
+import pathlib
+import typing
+from typing import Any, NamedTuple
+
+import capnp
+from result import Err, Ok, Result
+
+from chervilpitch import limits, spread
+from chervilpitch.errors import FrameError
+from chervilpitch.health.messages import HealthReport
+from chervilpitch.membership.messages import Hello
+from chervilpitch.model import Sender
+from chervilpitch.requests.messages import FinalOutcomes
+
+__all__ = ["MESSAGE_TYPES", "Envelope", "decode", "encode"]
+
+VERSION = 1
+SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
+TRAVERSAL_LIMIT_WORDS = 4_194_304
+
+MESSAGE_TYPES = {
+    "hello": Hello,
+    "healthReport": HealthReport,
+    "finalOutcomes": FinalOutcomes,
+    "claim": limits.Claim,
+    "promise": limits.Promise,
+    "release": limits.Release,
+    "tokenRequest": limits.TokenRequest,
+    "grant": limits.Grant,
+    "revisionAdvert": spread.RevisionAdvert,
+    "noteRequest": spread.NoteRequest,
+    "notesReply": spread.NotesReply,
+}
+_NAMES = {kind: name for name, kind in MESSAGE_TYPES.items()}
+
+
+class Envelope(NamedTuple):
+    """A message with its origin.
+
+    Parameters
+    ----------
+    sender : Sender
+        Instance that sent it.
+    receiver : str
+        Name of the instance meant.
+    wall_ns, logical : int
+        The sender's hybrid logical clock.
+    message : NamedTuple
+        One of ``MESSAGE_TYPES``.
+    """
+
+    sender: Sender
+    receiver: str
+    wall_ns: int
+    logical: int
+    message: Any
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the bytes of an envelope.
+
+    Parameters
+    ----------
+    envelope : Envelope
+        What to send.
+
+    Returns
+    -------
+    bytes
+        A packed Cap'n Proto message.
+    """
+    name = _NAMES[type(envelope.message)]
+    return SCHEMA.Envelope.new_message(
+        version=VERSION,
+        sender=envelope.sender.name,
+        incarnation=envelope.sender.incarnation,
+        receiver=envelope.receiver,
+        wallNs=envelope.wall_ns,
+        logical=envelope.logical,
+        body={name: _plain(envelope.message)},
+    ).to_bytes_packed()
+
+
+def decode(payload: bytes) -> Result[Envelope, FrameError]:
+    """Read an envelope.
+
+    Parameters
+    ----------
+    payload : bytes
+        An authenticated payload.
+
+    Returns
+    -------
+    Result
+        The envelope, or an error for one that is malformed or whose message
+        this version does not know.
+    """
+    try:
+        fields = SCHEMA.Envelope.from_bytes_packed(
+            payload, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ).to_dict()
+        (name, content) = next(iter(fields["body"].items()))
+        message = _typed(MESSAGE_TYPES[name], content)
+        sender = Sender(fields["sender"], fields["incarnation"])
+        return Ok(
+            Envelope(
+                sender,
+                fields["receiver"],
+                fields["wallNs"],
+                fields["logical"],
+                message,
+            )
+        )
+    except (capnp.KjException, KeyError, TypeError, ValueError, StopIteration) as error:
+        return Err(FrameError(type(error).__name__))
+
+
+def _plain(value: Any) -> Any:
+    if hasattr(value, "_fields"):
+        return {
+            _camel(name): _plain(getattr(value, name)) for name in value._fields
+        }
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
+    return value
+
+
+def _typed(kind: Any, value: Any) -> Any:
+    if hasattr(kind, "_fields"):
+        hints = typing.get_type_hints(kind)
+        return kind(
+            **{name: _typed(hints[name], value[_camel(name)]) for name in kind._fields}
+        )
+    if typing.get_origin(kind) is tuple:
+        (item_kind, _) = typing.get_args(kind)
+        return tuple(_typed(item_kind, item) for item in value)
+    return value
+
+
+def _camel(name: str) -> str:
+    first, *others = name.split("_")
+    return first + "".join(word.title() for word in others)
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,151 @@
+"""A stand-in for an upstream with gray failures.
+
+It runs a request, records its identifier and answers with a body that names the
+request. Faults come from a file that may be rewritten at any time, one a line:
+``slow SECONDS``, ``stall``, ``half``, ``error SHARE``, ``shed``, ``drain``,
+``crash-after-run``. ``GET /ran`` lists every request run, ``GET /health``
+answers well whatever the faults are.
+"""
+
+import argparse
+import json
+import pathlib
+import random
+import threading
+import time
+
+from cheroot import wsgi
+
+__all__ = ["UpstreamStandIn", "main", "parse_faults"]
+
+STALL_S = 30.0
+CHUNK_BYTES = 65_536
+
+
+class ConnectionCutError(Exception):
+    """Raised in the middle of a body to cut the connection."""
+
+
+def parse_faults(text):
+    """Return the faults of a file as a mapping from name to number.
+
+    Examples
+    --------
+    >>> parse_faults("slow 0.5")
+    {'slow': 0.5}
+    """
+    words = (line.split() for line in text.splitlines() if line.strip())
+    return {word[0]: float(word[1]) if len(word) > 1 else 1.0 for word in words}
+
+
+class UpstreamStandIn:
+    """WSGI application that runs requests and fails as told.
+
+    Parameters
+    ----------
+    name : str
+        Name given in answers.
+    slots : int
+        Requests run at once; more are shed.
+    faults : pathlib.Path
+        File of faults; absent means none.
+    service_s : float
+        Time one request takes in seconds.
+    seed : int
+        Seed of the errors.
+    """
+
+    def __init__(self, name, slots, faults, service_s=0.0, seed=1):
+        self._name = name
+        self._slots = threading.BoundedSemaphore(slots)
+        self._faults = faults
+        self._service_s = service_s
+        self._random = random.Random(seed)
+        self._ran = []
+        self._keys_seen = 0
+
+    def __call__(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/health":
+            return _answer(start_response, "200 OK", b"well")
+        if path == "/ran":
+            report = {"ran": self._ran, "keys_seen": self._keys_seen}
+            return _answer(start_response, "200 OK", json.dumps(report).encode())
+        faults = self._current_faults()
+        if "shed" in faults or not self._slots.acquire(blocking=False):
+            return _answer(
+                start_response, "503 Service Unavailable", b"", [("X-Shed", "not-run")]
+            )
+        try:
+            return self._run(environ, start_response, faults)
+        finally:
+            self._slots.release()
+
+    def _run(self, environ, start_response, faults):
+        length = _drain_body(environ["wsgi.input"])
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        self._keys_seen += "HTTP_AUTHORIZATION" in environ
+        self._ran.append(request_id)
+        time.sleep(self._service_s + faults.get("slow", 0.0))
+        if "stall" in faults:
+            time.sleep(STALL_S)
+        if self._random.random() < faults.get("error", 0.0):
+            return _answer(start_response, "500 Internal Server Error", b"failed")
+        answer = {
+            "upstream": self._name,
+            "request": request_id,
+            "path": environ["PATH_INFO"],
+            "received": length,
+        }
+        body = json.dumps(answer).encode()
+        size = int(environ.get("HTTP_X_ANSWER_BYTES", "0"))
+        body += b" " * max(0, size - len(body))
+        headers = [("X-Draining", "yes")] if "drain" in faults else []
+        if "half" in faults:
+            return _half_answer(start_response, body)
+        return _answer(start_response, "200 OK", body, headers)
+
+    def _current_faults(self):
+        if self._faults is None or not self._faults.exists():
+            return {}
+        return parse_faults(self._faults.read_text())
+
+
+def _answer(start_response, status, body, headers=()):
+    fixed = [("Content-Length", str(len(body))), ("Content-Type", "application/json")]
+    start_response(status, fixed + list(headers))
+    return [body]
+
+
+def _half_answer(start_response, body):
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    yield body[: len(body) // 2]
+    raise ConnectionCutError
+
+
+def _drain_body(stream):
+    length = 0
+    while chunk := stream.read(CHUNK_BYTES):
+        length += len(chunk)
+    return length
+
+
+def main():
+    """Run the stand-in until it is ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", required=True, help="host:port")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument("--service-s", type=float, default=0.0)
+    parser.add_argument("--faults", type=pathlib.Path)
+    arguments = parser.parse_args()
+    host, _, port = arguments.listen.rpartition(":")
+    application = UpstreamStandIn(
+        arguments.name, arguments.slots, arguments.faults, arguments.service_s
+    )
+    server = wsgi.Server((host, int(port)), application, numthreads=32)
+    server.safe_start()
+
+
+if __name__ == "__main__":
+    main()
