--- /dev/null
+++ b/src/chervilpitch/accounts/freshness.py
@@ -0,0 +1,252 @@
+"""Evidence that the catalogue in force is the newest one."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from chervilpitch.membership.placement import rank
+from chervilpitch.model import Catalogue, Effect, Instance, Sender, region_of
+
+__all__ = [
+    "Freshness",
+    "follow_instances",
+    "peer_heard",
+    "platform_heard",
+    "put_in_force",
+]
+
+EVIDENCE_S = 5.0
+BEHIND_S = 3.0
+MAX_REGION_PEERS = 15
+MAX_REMOTE_PEERS = 9
+
+
+class _Heard(NamedTuple):
+    asked_at_s: float
+    expires_at_s: float
+
+
+class Freshness:
+    """Evidence that the catalogue in force is the newest one.
+
+    Parameters
+    ----------
+    instance : Instance
+        This instance.
+    """
+
+    def __init__(self, instance: Instance):
+        self._instance = instance
+        self._instances: Mapping[str, Instance] = {instance.name: instance}
+        self._platform = _Heard(float("-inf"), float("-inf"))
+        self._has_list = False
+        self._peers: dict[str, _Heard] = {}
+        self._region_peers: tuple[str, ...] = ()
+        self._remote_peers: tuple[str, ...] = ()
+        self._revision = 0
+        self._newest = 0
+        self._behind_at_s = float("inf")
+
+    @property
+    def revision(self) -> int:
+        """Revision in force."""
+        return self._revision
+
+    @property
+    def newest(self) -> int:
+        """Highest revision heard of."""
+        return self._newest
+
+    @property
+    def instance(self) -> Instance:
+        """This instance."""
+        return self._instance
+
+    @property
+    def has_list(self) -> bool:
+        """Whether a list of instances has been taken."""
+        return self._has_list
+
+    @property
+    def others(self) -> tuple[Instance, ...]:
+        """All other instances known."""
+        name = self._instance.name
+        return tuple(item for key, item in self._instances.items() if key != name)
+
+    @property
+    def region_peers(self) -> tuple[str, ...]:
+        """Names of the instances of the own region to be asked."""
+        return self._region_peers
+
+    @property
+    def remote_peers(self) -> tuple[str, ...]:
+        """Names of the instances of other regions to be asked."""
+        return self._remote_peers
+
+    def is_platform_heard(self, now_s: float) -> bool:
+        """Return whether the platform was read within the evidence time."""
+        return now_s < self._platform.expires_at_s
+
+    def is_peer_heard(self, name: str, now_s: float) -> bool:
+        """Return whether a peer answered within the evidence time."""
+        heard = self._peers.get(name)
+        return heard is not None and now_s < heard.expires_at_s
+
+    def is_behind(self, now_s: float) -> bool:
+        """Return whether a newer revision has been missing for too long."""
+        return now_s >= self._behind_at_s
+
+    def note_platform(self, asked_at_s: float) -> None:
+        """Keep the latest reading of the platform."""
+        self._platform = max(self._platform, _heard(asked_at_s))
+
+    def note_peer(self, name: str, asked_at_s: float) -> None:
+        """Keep the latest answer of a peer."""
+        heard = _heard(asked_at_s)
+        self._peers[name] = max(heard, self._peers.get(name, heard))
+
+    def note_revision(self, revision: int, now_s: float) -> None:
+        """Note a revision that exists; start the time allowed to reach it."""
+        if revision <= self._newest:
+            return
+        self._newest = revision
+        if revision > self._revision:
+            self._behind_at_s = min(self._behind_at_s, now_s + BEHIND_S)
+
+    def put_in_force(self, revision: int) -> None:
+        """Note the revision in force."""
+        self._revision = revision
+        self._newest = max(self._newest, revision)
+        if self._revision >= self._newest:
+            self._behind_at_s = float("inf")
+
+    def follow(self, instances: Mapping[str, Instance]) -> None:
+        """Take the instances known; drop what was heard of others."""
+        self._has_list = True
+        self._instances = {**instances, self._instance.name: self._instance}
+        self._peers = {
+            name: heard for name, heard in self._peers.items() if name in instances
+        }
+        self._choose_peers()
+
+    def _choose_peers(self) -> None:
+        region = region_of(self._instance.failure_domain)
+        near, far = [], []
+        for item in self.others:
+            is_near = region_of(item.failure_domain) == region
+            (near if is_near else far).append(item.name)
+        name = self._instance.name
+        self._region_peers = rank(name, near)[:MAX_REGION_PEERS]
+        self._remote_peers = rank(name, far)[:MAX_REMOTE_PEERS]
+
+
+def platform_heard(
+    state: Freshness, revision: int, asked_at_s: float, now_s: float
+) -> tuple[Effect, ...]:
+    """Take the answer of the platform to a reading of its newest revision.
+
+    Parameters
+    ----------
+    state : Freshness
+        The evidence; changed.
+    revision : int
+        Newest revision that the platform showed.
+    asked_at_s : float
+        Monotonic time in seconds at which the question was sent.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Always empty.
+
+    Notes
+    -----
+    Evidence dates from the question, never from the arrival of the answer: an
+    answer that waited in a buffer while the process was suspended is as old as
+    its question. A platform that shows less than the fleet has seen is stale
+    and no evidence.
+    """
+    if revision < state.newest:
+        return ()
+    state.note_revision(revision, now_s)
+    state.note_platform(asked_at_s)
+    return ()
+
+
+def peer_heard(
+    state: Freshness, sender: Sender, revision: int, asked_at_s: float, now_s: float
+) -> tuple[Effect, ...]:
+    """Take the answer of a peer to the question for its revision in force.
+
+    Parameters
+    ----------
+    state : Freshness
+        The evidence; changed.
+    sender : Sender
+        The authenticated peer.
+    revision : int
+        Revision in force there.
+    asked_at_s : float
+        Monotonic time in seconds at which the question was sent.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Always empty.
+    """
+    state.note_revision(revision, now_s)
+    state.note_peer(sender.name, asked_at_s)
+    return ()
+
+
+def follow_instances(
+    state: Freshness, instances: Mapping[str, Instance], now_s: float
+) -> tuple[Effect, ...]:
+    """Take the instances known, by name.
+
+    Parameters
+    ----------
+    state : Freshness
+        The evidence; changed.
+    instances : mapping of str to Instance
+        The instances.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Always empty.
+    """
+    state.follow(instances)
+    return ()
+
+
+def put_in_force(
+    state: Freshness, catalogue: Catalogue, now_s: float
+) -> tuple[Effect, ...]:
+    """Follow the catalogue in force.
+
+    Parameters
+    ----------
+    state : Freshness
+        The evidence; changed.
+    catalogue : Catalogue
+        The catalogue.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Always empty.
+    """
+    state.put_in_force(catalogue.revision)
+    return ()
+
+
+def _heard(asked_at_s: float) -> _Heard:
+    return _Heard(asked_at_s, asked_at_s + EVIDENCE_S)
--- /dev/null
+++ b/src/chervilpitch/requests/hand_over.py
@@ -0,0 +1,204 @@
+"""Final outcomes handed over by an instance that stops gracefully."""
+
+from functools import singledispatch
+from typing import Literal
+
+from pydantic import ConfigDict, TypeAdapter
+
+from chervilpitch.model import Effect, RefusalKind, Send, Sender
+
+from .messages import FinalOutcomes, FinalRecord
+from .outcomes import Answered, NotRun, Outcome, Unknown
+from .records import Phase, Records, TicketRecord
+
+__all__ = [
+    "decode_outcome",
+    "encode_outcome",
+    "has_open_tickets",
+    "hand_over",
+    "receive",
+    "seal_unused",
+]
+
+MAX_RECORDS_PER_MESSAGE = 64
+
+_Tagged = (
+    tuple[Literal["answered"], Answered]
+    | tuple[Literal["not-run"], NotRun]
+    | tuple[Literal["unknown"], Unknown]
+)
+_TAGS = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
+_CODEC = TypeAdapter(
+    _Tagged, config=ConfigDict(ser_json_bytes="base64", val_json_bytes="base64")
+)
+
+
+def encode_outcome(outcome: Outcome) -> bytes:
+    """Return an outcome as bytes.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        The outcome.
+
+    Returns
+    -------
+    bytes
+        JSON.
+
+    Examples
+    --------
+    >>> outcome = Answered(201, (("etag", "7"),), bytes([0, 255]))
+    >>> decode_outcome(encode_outcome(outcome)) == outcome
+    True
+    """
+    return _CODEC.dump_json((_TAGS[type(outcome)], outcome))
+
+
+def decode_outcome(encoded: bytes) -> Outcome:
+    """Return the outcome of its bytes.
+
+    Parameters
+    ----------
+    encoded : bytes
+        JSON, from an authenticated peer.
+
+    Returns
+    -------
+    Outcome
+        The outcome.
+
+    Raises
+    ------
+    pydantic.ValidationError
+        If the bytes are no outcome.
+    """
+    return _CODEC.validate_json(encoded)[1]
+
+
+def has_open_tickets(state: Records, now_s: float) -> bool:
+    """Return whether a request is running or may still be started.
+
+    Parameters
+    ----------
+    state : Records
+        Records of this incarnation.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    bool
+        False when every outcome is final.
+    """
+    return any(_is_open(record, now_s) for record in state)
+
+
+def seal_unused(state: Records, now_s: float) -> int:
+    """Close every ticket that was not used, so that nothing runs under it.
+
+    Parameters
+    ----------
+    state : Records
+        Records of this incarnation; changed.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    int
+        Number of tickets closed.
+    """
+    unused = [record for record in state if record.phase is Phase.UNUSED]
+    for record in unused:
+        state.close(record, NotRun(RefusalKind.NOT_READY), now_s)
+    return len(unused)
+
+
+def hand_over(state: Records, to: tuple[str, ...], now_s: float) -> tuple[Effect, ...]:
+    """Send every final outcome to other instances.
+
+    Parameters
+    ----------
+    state : Records
+        Records of this incarnation.
+    to : tuple of str
+        Names of the receiving instances.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        The messages.
+
+    Notes
+    -----
+    A final outcome never changes, so any number of instances may hold and answer
+    it. Tickets that are unused or running are not handed over: no other
+    instance may ever run them.
+    """
+    records = tuple(
+        _final_record(record, now_s)
+        for record in state
+        if record.phase is Phase.FINAL and record.forget_at_s > now_s
+    )
+    starts = range(0, len(records), MAX_RECORDS_PER_MESSAGE)
+    parts = [records[start : start + MAX_RECORDS_PER_MESSAGE] for start in starts]
+    return tuple(Send(name, FinalOutcomes(part)) for name in to for part in parts)
+
+
+@singledispatch
+def receive(
+    message, state: Records, sender: Sender, now_s: float
+) -> tuple[Effect, ...]:
+    """Take a message of a peer.
+
+    Parameters
+    ----------
+    message : NamedTuple
+        The message.
+    state : Records
+        Records of this incarnation; changed.
+    sender : Sender
+        The authenticated sender.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        Always empty.
+
+    Raises
+    ------
+    TypeError
+        If the message is of another part.
+    """
+    raise TypeError(type(message))
+
+
+@receive.register
+def _(message: FinalOutcomes, state: Records, sender: Sender, now_s: float):
+    state.directory.heard(sender)
+    for record in message.records:
+        outcome = decode_outcome(record.outcome)
+        state.directory.hold(sender, record, outcome, now_s)
+    return ()
+
+
+def _is_open(record: TicketRecord, now_s: float) -> bool:
+    if record.phase is Phase.UNUSED:
+        return now_s < record.ticket.deadline_at_s
+    return record.phase is Phase.RUNNING
+
+
+def _final_record(record: TicketRecord, now_s: float) -> FinalRecord:
+    return FinalRecord(
+        record.ticket.ticket_id,
+        record.ticket.account,
+        record.ticket.route,
+        record.request_digest,
+        encode_outcome(record.outcome),
+        record.forget_at_s - now_s,
+    )
--- /dev/null
+++ b/src/chervilpitch/requests/tickets.py
@@ -0,0 +1,124 @@
+"""Signed one-shot tickets: each names the one incarnation that may run it."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+from typing import NamedTuple
+
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from chervilpitch.model import Refusal, RefusalKind, RunState
+
+__all__ = ["KEEP_S", "LIFE_S", "MAX_TEXT_BYTES", "Ticket", "issue", "verify"]
+
+LIFE_S = 60.0
+KEEP_S = 120.0
+MAX_TEXT_BYTES = 2_048
+
+_MAC_BYTES = hashlib.sha256().digest_size
+_DOMAIN = b"chervilpitch ticket 1\0"
+_INVALID = Refusal(RefusalKind.TICKET_INVALID, RunState.NOT_RUN)
+
+
+class Ticket(NamedTuple):
+    """The right to run one request once, at one incarnation of one instance.
+
+    Parameters
+    ----------
+    ticket_id : str
+        Unique identifier; random.
+    instance : str
+        Name of the issuing instance, the only one that may run the request.
+    incarnation : int
+        Incarnation of that instance.
+    account : str
+        Name of the client account that the ticket was issued to.
+    route : str
+        Name of the route that it is valid on.
+    deadline_at_s : float
+        Monotonic time of the issuing incarnation, in seconds, from which the
+        ticket can no longer be used for the first time.
+    """
+
+    ticket_id: str
+    instance: str
+    incarnation: int
+    account: str
+    route: str
+    deadline_at_s: float
+
+
+_CODEC = TypeAdapter(Ticket)
+
+
+def issue(secret: bytes, ticket: Ticket) -> str:
+    """Return the signed text of a ticket.
+
+    Parameters
+    ----------
+    secret : bytes
+        Secret shared by the instances of the fleet.
+    ticket : Ticket
+        The ticket.
+
+    Returns
+    -------
+    str
+        URL-safe text for a header.
+
+    Examples
+    --------
+    >>> ticket = Ticket("7f", "a", 1, "fitters", "booking", 60.0)
+    >>> verify(b"secret", issue(b"secret", ticket)).unwrap() == ticket
+    True
+    >>> verify(b"other", issue(b"secret", ticket)).unwrap_err().kind
+    <RefusalKind.TICKET_INVALID: 'ticket-invalid'>
+    """
+    payload = _CODEC.dump_json(ticket)
+    return base64.urlsafe_b64encode(_mac(secret, payload) + payload).decode()
+
+
+def verify(secret: bytes, text: str) -> Result[Ticket, Refusal]:
+    """Return the ticket of a signed text.
+
+    Parameters
+    ----------
+    secret : bytes
+        Secret shared by the instances of the fleet.
+    text : str
+        Text as the caller sent it.
+
+    Returns
+    -------
+    Result[Ticket, Refusal]
+        The ticket; ``TICKET_INVALID`` when the text was not issued by the fleet.
+
+    Notes
+    -----
+    The payload is decoded only after its code has been compared in constant
+    time. Only the text as issued is accepted, no other spelling of it. The
+    deadline is not judged here: only the issuing incarnation has its clock.
+    """
+    if len(text) > MAX_TEXT_BYTES:
+        return Err(_INVALID)
+    try:
+        signed = base64.b64decode(text.encode("ascii"), b"-_", validate=True)
+    except (UnicodeEncodeError, binascii.Error):
+        return Err(_INVALID)
+    mac, payload = signed[:_MAC_BYTES], signed[_MAC_BYTES:]
+    if not hmac.compare_digest(mac, _mac(secret, payload)):
+        return Err(_INVALID)
+    return _decode(payload)
+
+
+def _mac(secret: bytes, payload: bytes) -> bytes:
+    return hmac.digest(secret, _DOMAIN + payload, "sha256")
+
+
+def _decode(payload: bytes) -> Result[Ticket, Refusal]:
+    try:
+        return Ok(_CODEC.validate_json(payload))
+    except ValidationError:
+        return Err(_INVALID)
