--- a/src/chervilpitch/accounts/__init__.py
+++ b/src/chervilpitch/accounts/__init__.py
@@ -1,5 +1,6 @@
 """Client accounts and their keys."""
 
+from .concurrency import InProgress
 from .evidence import Evidence, check, evidence
 from .freshness import (
     Freshness,
@@ -14,6 +15,7 @@
 __all__ = [
     "Evidence",
     "Freshness",
+    "InProgress",
     "MAX_KEY_BYTES",
     "PresentedKey",
     "check",
--- a/src/chervilpitch/pipeline/application.py
+++ b/src/chervilpitch/pipeline/application.py
@@ -18,7 +18,13 @@
 from .deliver import Delivery
 from .exchange import CallerRequest, Exchange
 from .forward import Forwarder
-from .headers import end_to_end, presented_key, sent_by_caller, ticket_text
+from .headers import (
+    end_to_end,
+    presented_key,
+    sent_by_caller,
+    ticket_text,
+    with_length,
+)
 from .pipe import run
 
 __all__ = ["ADDRESS_PATH", "CallersApplication"]
@@ -51,11 +57,13 @@
         self._max_body_bytes = max_body_bytes
         self._metrics = metrics
         forwarder = Forwarder(decisions, upstreams, clock)
-        self._filters = (
+        self._before_body = (
             ("identify", functools.partial(filters.identify, decisions)),
             ("route", functools.partial(filters.match_route, decisions)),
-            ("admit", functools.partial(filters.admit, decisions)),
+        )
+        self._after_body = (
             ("remember", functools.partial(filters.remember, decisions)),
+            ("admit", functools.partial(filters.admit, decisions)),
             ("forward", forwarder),
         )
 
@@ -64,22 +72,30 @@
         headers = sent_by_caller(environ)
         if environ["PATH_INFO"] == ADDRESS_PATH:
             return self._answer_addresses(environ, headers, start_response)
-        received = self._receive(environ, headers)
-        if received.is_err():
-            return self._refuse(received.unwrap_err(), headers, start_response)
-        exchange = Exchange(received.unwrap())
-        outcome = run(self._filters, exchange, self._clock, self._metrics.filter_took)
+        exchange = Exchange(self._request(environ, headers))
+        outcome = run(
+            self._filters_of(environ), exchange, self._clock, self._metrics.filter_took
+        )
         if outcome.is_err():
             return self._refuse(outcome.unwrap_err(), headers, start_response)
         return self._deliver(outcome.unwrap(), start_response)
 
-    def _receive(self, environ, headers) -> Result[CallerRequest, Refusal]:
+    def _filters_of(self, environ):
+        receive = functools.partial(self._receive, environ)
+        return self._before_body + (("receive", receive),) + self._after_body
+
+    def _receive(self, environ, exchange) -> Result[Exchange, Refusal]:
         length = _declared_length(environ)
-        stream = environ["wsgi.input"]
-        received = receive_body(stream, length, self._max_body_bytes)
-        return received.map(lambda body: self._request(environ, headers, body))
+        received = receive_body(environ["wsgi.input"], length, self._max_body_bytes)
+        return received.map(
+            lambda body: exchange._replace(
+                request=exchange.request._replace(
+                    body=body, headers=with_length(exchange.request.headers, body.length)
+                )
+            )
+        )
 
-    def _request(self, environ, headers, body):
+    def _request(self, environ, headers):
         query = environ["QUERY_STRING"]
         path = environ["PATH_INFO"]
         raw_path = environ.get("REQUEST_URI", path).partition("?")[0]
@@ -89,10 +105,10 @@
             path=path,
             query=query,
             target=f"{raw_path}?{query}" if query else raw_path,
-            headers=end_to_end(headers, body.length),
+            headers=end_to_end(headers),
             presented_key=presented_key(headers),
             ticket=ticket_text(headers) or None,
-            body=body,
+            body=None,
             received_at_s=self._clock(),
         )
 
--- a/src/chervilpitch/pipeline/exchange.py
+++ b/src/chervilpitch/pipeline/exchange.py
@@ -59,8 +59,8 @@
         The caller's key behind a redacting wrapper.
     ticket : str or None
         The one-shot ticket shown, if any.
-    body : RequestBody
-        Body of the request.
+    body : RequestBody or None
+        Body of the request, once received.
     received_at_s : float
         Monotonic time in seconds.
     """
@@ -73,7 +73,7 @@
     headers: Headers
     presented_key: Any
     ticket: str | None
-    body: RequestBody
+    body: RequestBody | None
     received_at_s: float
 
 
--- a/src/chervilpitch/pipeline/filters.py
+++ b/src/chervilpitch/pipeline/filters.py
@@ -2,12 +2,12 @@
 
 from result import Ok, Result
 
-from chervilpitch.model import Refusal
-from chervilpitch.requests import Recorded
+from chervilpitch.model import Refusal, RunState
+from chervilpitch.requests import NotRun, Recorded, Unknown
 
 from .exchange import Exchange
 
-__all__ = ["admit", "identify", "match_route", "remember"]
+__all__ = ["admit", "close_record", "enter", "identify", "match_route", "remember"]
 
 
 def identify(decisions, exchange: Exchange) -> Result[Exchange, Refusal]:
@@ -29,6 +29,24 @@
     return account.map(lambda found: exchange._replace(account=found))
 
 
+def enter(decisions, exchange: Exchange) -> Result[Exchange, Refusal]:
+    """Count the request among those of its client account in progress.
+
+    Parameters
+    ----------
+    decisions : Decisions
+        The decision cores.
+    exchange : Exchange
+        An identified exchange.
+
+    Returns
+    -------
+    Result
+        The exchange, or a refusal.
+    """
+    return decisions.enter(exchange.account.name).map(lambda _: exchange)
+
+
 def match_route(decisions, exchange: Exchange) -> Result[Exchange, Refusal]:
     """Find the route and set the deadline.
 
@@ -61,14 +79,19 @@
     decisions : Decisions
         The decision cores.
     exchange : Exchange
-        A routed exchange.
+        A remembered exchange.
 
     Returns
     -------
     Result
         The exchange, or a refusal.
     """
-    return decisions.admit(exchange.account.name).map(lambda _: exchange)
+    if exchange.recorded is not None:
+        return Ok(exchange)
+    admitted = decisions.admit(exchange.account.name)
+    if admitted.is_err():
+        close_record(decisions, exchange, admitted.unwrap_err())
+    return admitted.map(lambda _: exchange)
 
 
 def remember(decisions, exchange: Exchange) -> Result[Exchange, Refusal]:
@@ -79,7 +102,7 @@
     decisions : Decisions
         The decision cores.
     exchange : Exchange
-        An admitted exchange.
+        A routed exchange.
 
     Returns
     -------
@@ -93,6 +116,24 @@
     )
 
 
+def close_record(decisions, exchange: Exchange, refusal: Refusal) -> None:
+    """Record that a request that must not be repeated was refused.
+
+    Parameters
+    ----------
+    decisions : Decisions
+        The decision cores.
+    exchange : Exchange
+        The exchange.
+    refusal : Refusal
+        The refusal that the caller gets.
+    """
+    if exchange.record_id is None:
+        return
+    kind = NotRun if refusal.run is RunState.NOT_RUN else Unknown
+    decisions.finish(exchange.record_id, kind(refusal.kind))
+
+
 def _with_record(exchange, entry):
     if isinstance(entry, Recorded):
         return Ok(exchange._replace(recorded=entry.outcome))
--- a/src/chervilpitch/pipeline/forward.py
+++ b/src/chervilpitch/pipeline/forward.py
@@ -6,7 +6,7 @@
 
 from chervilpitch.health import observations
 from chervilpitch.model import Refusal, RefusalKind, RunState
-from chervilpitch.requests import FailureStage, NotRun, Unknown
+from chervilpitch.requests import FailureStage
 from chervilpitch.transport.bodies import CallerStalledError
 from chervilpitch.transport.upstreams import (
     TruncatedAnswerError,
@@ -15,6 +15,7 @@
 )
 
 from .exchange import Exchange
+from .filters import close_record
 
 __all__ = ["START_BYTES", "Forwarder"]
 
@@ -51,7 +52,7 @@
             return Ok(exchange)
         outcome = self._attempts(exchange)
         if outcome.is_err():
-            self._finish(exchange, outcome.unwrap_err())
+            close_record(self._decisions, exchange, outcome.unwrap_err())
         return outcome
 
     def _attempts(self, exchange):
@@ -140,12 +141,6 @@
         self._decisions.release(exchange.reservation, observation)
         return Err(failure)
 
-    def _finish(self, exchange, refusal):
-        if exchange.record_id is None:
-            return
-        kind = NotRun if refusal.run is RunState.NOT_RUN else Unknown
-        self._decisions.finish(exchange.record_id, kind(refusal.kind))
-
 
 def _body(body) -> bytes | Iterator[bytes] | None:
     if body.whole is None:
--- a/src/chervilpitch/pipeline/headers.py
+++ b/src/chervilpitch/pipeline/headers.py
@@ -5,7 +5,7 @@
 from chervilpitch.accounts import PresentedKey
 from chervilpitch.transport.upstreams import HOP_BY_HOP, Headers
 
-__all__ = ["end_to_end", "presented_key", "sent_by_caller", "ticket_text"]
+__all__ = ["end_to_end", "presented_key", "sent_by_caller", "ticket_text", "with_length"]
 
 KEY_HEADER = "authorization"
 KEY_SCHEME = "bearer"
@@ -89,15 +89,13 @@
     return _value(headers, TICKET_HEADER)
 
 
-def end_to_end(headers: Headers, body_length: int | None) -> Headers:
+def end_to_end(headers: Headers) -> Headers:
     """Return the headers that go on to an upstream.
 
     Parameters
     ----------
     headers : tuple of pairs of str
         Lower-case names and values from the caller.
-    body_length : int or None
-        Length of the body in bytes, ``None`` for chunks.
 
     Returns
     -------
@@ -106,7 +104,7 @@
 
     Examples
     --------
-    >>> end_to_end((("authorization", "k"), ("accept", "*/*"), ("te", "x")), 0)
+    >>> end_to_end((("authorization", "k"), ("accept", "*/*"), ("te", "x")))
     (('accept', '*/*'),)
     """
     named = {
@@ -115,14 +113,33 @@
         if name == "connection"
         for word in value.split(",")
     }
-    kept = tuple(
-        (name, value)
-        for name, value in headers
-        if name not in HOP_BY_HOP | OWN_HEADERS | named
-    )
-    if body_length:
-        return kept + (("content-length", str(body_length)),)
-    return kept
+    dropped = HOP_BY_HOP | OWN_HEADERS | named
+    return tuple((name, value) for name, value in headers if name not in dropped)
+
+
+def with_length(headers: Headers, body_length: int | None) -> Headers:
+    """Return headers with the length of a body.
+
+    Parameters
+    ----------
+    headers : tuple of pairs of str
+        Headers for the upstream.
+    body_length : int or None
+        Length in bytes, ``None`` for chunks.
+
+    Returns
+    -------
+    tuple of pairs of str
+        With ``content-length`` unless there is no body or its length is unknown.
+
+    Examples
+    --------
+    >>> with_length((), 12)
+    (('content-length', '12'),)
+    """
+    if not body_length:
+        return headers
+    return headers + (("content-length", str(body_length)),)
 
 
 def _value(headers, wanted):
--- /dev/null
+++ b/src/chervilpitch/runtime/decisions.py
@@ -0,0 +1,299 @@
+"""All decision cores of one instance behind one lock."""
+
+import hashlib
+import random
+import secrets
+import threading
+from collections.abc import Callable
+from typing import TypedDict
+
+from result import Err, Ok, Result
+
+from chervilpitch import accounts, health, limits, requests, routing
+from chervilpitch.model import (
+    EMPTY_CATALOGUE,
+    Catalogue,
+    ClientAccount,
+    Effect,
+    Instance,
+    Refusal,
+    RefusalKind,
+    Route,
+    RunState,
+    Sender,
+)
+from chervilpitch.pipeline.exchange import Exchange
+
+__all__ = ["AddressAnswer", "Decisions", "Held"]
+
+
+class AddressAnswer(TypedDict):
+    """Which addresses a caller should use.
+
+    Attributes
+    ----------
+    addresses : list of str
+        Host and port, best first.
+    good_for_s : float
+        Seconds that the caller may keep the answer.
+    ticket : str or None
+        One-shot ticket for a request that must not be repeated.
+    ticket_address : str or None
+        The address where the ticket is valid.
+    """
+
+    addresses: list[str]
+    good_for_s: float
+    ticket: str | None
+    ticket_address: str | None
+
+
+class Held:
+    """An upstream slot held by an exchange.
+
+    Parameters
+    ----------
+    reservation : routing.Reservation
+        The reservation.
+    connections : int
+        Connections this instance may hold to the upstream.
+    """
+
+    def __init__(self, reservation: routing.Reservation, connections: int):
+        self._reservation = reservation
+        self._connections = connections
+
+    @property
+    def reservation(self) -> routing.Reservation:
+        """The reservation."""
+        return self._reservation
+
+    @property
+    def upstream(self) -> str:
+        """Name of the upstream."""
+        return self._reservation.upstream
+
+    @property
+    def address(self) -> str:
+        """Host and port of the upstream."""
+        return self._reservation.address
+
+    @property
+    def connections(self) -> int:
+        """Connections this instance may hold to the upstream."""
+        return self._connections
+
+
+class Decisions:
+    """The decision cores of one instance.
+
+    Parameters
+    ----------
+    own : Instance
+        This instance.
+    incarnation : int
+        Random number drawn when the process started.
+    secret : bytes
+        Secret shared by the fleet.
+    requests_per_account : int
+        Most requests of one client account at once.
+    clock : callable
+        Returns monotonic seconds.
+    carry_out : callable
+        Takes the effects of a decision.
+    """
+
+    def __init__(
+        self,
+        own: Instance,
+        incarnation: int,
+        secret: bytes,
+        requests_per_account: int,
+        clock: Callable[[], float],
+        carry_out: Callable[[tuple[Effect, ...]], None],
+    ):
+        self._own = own
+        self._clock = clock
+        self._carry_out = carry_out
+        self._lock = threading.RLock()
+        self._catalogue: Catalogue = EMPTY_CATALOGUE
+        sender = Sender(own.name, incarnation)
+        self._health = health.HealthState()
+        rng = random.Random(incarnation)
+        self._routing = routing.RoutingState(
+            own.seat, own.failure_domain, self._health, rng
+        )
+        self._limits = limits.LimitState(sender, own.seat)
+        self._records = requests.Records(own.name, incarnation, secret)
+        self._freshness = accounts.Freshness(own)
+        self._in_progress = accounts.InProgress(requests_per_account)
+        self._retry_budgets: dict[str, requests.RetryBudget] = {}
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Everything in force."""
+        return self._catalogue
+
+    @property
+    def in_progress(self) -> int:
+        """Requests in progress."""
+        return self._in_progress.total
+
+    def identify(self, key) -> Result[ClientAccount, Refusal]:
+        """Return the client account of a key, if the catalogue is fresh."""
+        with self._lock:
+            fresh = accounts.check(self._freshness, self._clock())
+            return fresh.and_then(lambda _: accounts.identify(self._catalogue, key))
+
+    def enter(self, account: str) -> Result[None, Refusal]:
+        """Count a request that begins."""
+        with self._lock:
+            return self._in_progress.enter(account)
+
+    def leave(self, account: str) -> None:
+        """Count a request that ends."""
+        with self._lock:
+            self._in_progress.leave(account)
+
+    def match(self, path: str, account: str) -> Result[Route, Refusal]:
+        """Return the route of a path."""
+        with self._lock:
+            return routing.match(self._routing.table, path, account)
+
+    def begin(self, exchange: Exchange):
+        """Decide whether a request that must not be repeated may run."""
+        text = exchange.request.ticket
+        verified = Ok(None)
+        if text is not None:
+            verified = requests.verify(self._records.secret, text)
+        digest = _digest_of(exchange)
+        with self._lock:
+            return verified.and_then(
+                lambda ticket: requests.begin(
+                    self._records,
+                    ticket,
+                    exchange.account.name,
+                    exchange.route.name,
+                    digest,
+                    self._clock(),
+                )
+            )
+
+    def finish(self, record_id: str, outcome) -> None:
+        """Record how a request that must not be repeated ended."""
+        with self._lock:
+            effects = requests.finish(
+                self._records, record_id, outcome, self._clock()
+            )
+        self._carry_out(effects)
+
+    def admit(self, account: str) -> Result[None, Refusal]:
+        """Charge a request to the rate of its client account."""
+        with self._lock:
+            return limits.admit(self._limits, account, self._clock())
+
+    def reserve(self, exchange: Exchange, failed) -> Result[Held, Refusal]:
+        """Take a slot of an upstream; the key is checked once more before."""
+        current = self.identify(exchange.request.presented_key)
+        if current.is_err():
+            return current
+        with self._lock:
+            if not failed:
+                self._budget(exchange.route.service).earn()
+            reserved = routing.reserve(
+                self._routing,
+                exchange.route,
+                failed,
+                self._clock(),
+                request_bytes=exchange.request.body.length or 0,
+                is_reused=exchange.route.idempotent,
+            )
+            return reserved.map(self._held)
+
+    def release(self, held: Held, observation) -> None:
+        """Give a slot back and take in how the exchange ended."""
+        with self._lock:
+            effects = routing.release(
+                self._routing, held.reservation, observation, self._clock()
+            )
+        self._carry_out(effects)
+
+    def observe(self, held: Held, observation) -> None:
+        """Take in an observation that ends no exchange."""
+        with self._lock:
+            effects = health.observe(
+                self._health, held.upstream, observation, self._clock()
+            )
+        self._carry_out(effects)
+
+    def may_retry(self, exchange: Exchange, stage, attempts: int) -> bool:
+        """Decide whether a failed attempt may be followed by another."""
+        nothing_sent = stage in (
+            requests.FailureStage.NOT_CONNECTED,
+            requests.FailureStage.CONNECTED_NOTHING_SENT,
+        )
+        if exchange.request.body.whole is None:
+            return False
+        attempt = requests.Attempt(stage, attempts, not nothing_sent, False)
+        with self._lock:
+            budget = self._budget(exchange.route.service)
+            allowed = requests.may_retry(
+                exchange.route, attempt, budget, exchange.deadline_at_s, self._clock()
+            )
+            if allowed.is_ok():
+                budget.spend()
+            return allowed.is_ok()
+
+    def new_ticket(self, account: str, route: Route) -> str | None:
+        """Return a one-shot ticket for a route, ``None`` where none is due."""
+        if route.idempotent:
+            return None
+        with self._lock:
+            granted = requests.grant(
+                self._records,
+                account,
+                route.name,
+                secrets.token_hex(16),
+                self._clock(),
+            )
+            return granted.ok()
+
+    def addresses(self, key, path: str, near: str) -> Result[AddressAnswer, Refusal]:
+        """Return which addresses the holder of a key should use."""
+        return self.identify(key).and_then(
+            lambda account: self._addresses_of(account, path, near)
+        )
+
+    def put_in_force(self, catalogue: Catalogue) -> None:
+        """Follow a new catalogue in every core at once."""
+        with self._lock:
+            now_s = self._clock()
+            self._catalogue = catalogue
+            effects = accounts.put_in_force(self._freshness, catalogue, now_s)
+            effects += limits.put_in_force(self._limits, catalogue, now_s)
+            effects += routing.put_in_force(self._routing, catalogue, now_s)
+        self._carry_out(effects)
+
+    def _held(self, reservation):
+        allowed = routing.connections_allowed(self._routing, reservation.upstream)
+        return Held(reservation, allowed)
+
+    def _budget(self, service):
+        return self._retry_budgets.setdefault(service, requests.RetryBudget())
+
+    def _addresses_of(self, account, path, near):
+        route = self.match(path, account.name) if path else Err(None)
+        ticket = route.map_or(None, lambda found: self.new_ticket(account.name, found))
+        answer = AddressAnswer(
+            addresses=[self._own.callers_address],
+            good_for_s=1.0,
+            ticket=ticket,
+            ticket_address=self._own.callers_address if ticket else None,
+        )
+        return Ok(answer)
+
+
+def _digest_of(exchange):
+    request = exchange.request
+    body_digest = hashlib.sha256(request.body.buffered).digest()
+    return requests.request_digest(request.method, request.target, body_digest)
