Add route matching, upstream choice, budgets and gray-failure detection

Cause: the request path needs a route, an upstream and one of its slots, and a view of which upstreams fail gray.

Change: routing/ matches routes, chooses an upstream within local windows and gives its slot back once; health/ scores each upstream by sequential tests against the other upstreams of its service and ejects above a floor.

Ruled out: a fixed share of the slots for each instance, which is none of 4 slots at 36 instances.

--- a/src/chervilpitch/health/__init__.py
+++ b/src/chervilpitch/health/__init__.py
@@ -1,1 +1,50 @@
 """Detection and ejection of upstreams with gray failures."""
+
+from .detector import finished, observe, progressed, put_in_force, started, tick
+from .messages import HealthReport
+from .observations import (
+    Abandoned,
+    Answered,
+    ConnectFailed,
+    DrainingSeen,
+    ErrorAnswer,
+    Observation,
+    ProbeAnswered,
+    ProbeFailed,
+    Shed,
+    Stalled,
+    Truncated,
+)
+from .probing import probes_due, receive, report
+from .queries import UpstreamStatus, eligible, snapshot, weight
+from .state import HealthState, RoundTrips
+
+__all__ = [
+    "Abandoned",
+    "Answered",
+    "ConnectFailed",
+    "DrainingSeen",
+    "ErrorAnswer",
+    "HealthReport",
+    "HealthState",
+    "Observation",
+    "ProbeAnswered",
+    "ProbeFailed",
+    "RoundTrips",
+    "Shed",
+    "Stalled",
+    "Truncated",
+    "UpstreamStatus",
+    "eligible",
+    "finished",
+    "observe",
+    "probes_due",
+    "progressed",
+    "put_in_force",
+    "receive",
+    "report",
+    "snapshot",
+    "started",
+    "tick",
+    "weight",
+]
--- /dev/null
+++ b/src/chervilpitch/health/queries.py
@@ -0,0 +1,132 @@
+"""Queries about upstreams: who may get requests, how many, and the status page."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from . import ejection
+from .evidence import doubt
+from .scores import EJECT_SCORE
+from .state import HealthState
+
+__all__ = ["UpstreamStatus", "eligible", "snapshot", "weight"]
+
+LEAST_DOUBT_WEIGHT = 0.1
+REPORTED_WEIGHT = 0.5
+
+
+class UpstreamStatus(NamedTuple):
+    """One row of the status page.
+
+    Parameters
+    ----------
+    name, service : str
+        The upstream and its service.
+    state : str
+        ``"healthy"``, ``"ramping"``, ``"ejected"`` or ``"draining"``.
+    doubt : float
+        Evidence against it.
+    weight : float
+        Share of its usual traffic.
+    in_flight : int
+        Exchanges in flight from this instance.
+    ejected_until_at_s : float or None
+        Earliest time of readmission.
+    """
+
+    name: str
+    service: str
+    state: str
+    doubt: float
+    weight: float
+    in_flight: int
+    ejected_until_at_s: float | None
+
+
+def eligible(state: HealthState, service: str, now_s: float) -> tuple[str, ...]:
+    """Return the upstreams of a service that may get new requests.
+
+    Parameters
+    ----------
+    state : HealthState
+        Not changed.
+    service : str
+        Name of the service.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of str
+        Names of upstreams.
+    """
+    now_s = state.clock(now_s)
+    names = state.services.get(service, ())
+    return tuple(n for n in names if ejection.is_eligible(state, n, now_s))
+
+
+def weight(state: HealthState, upstream_name: str, now_s: float) -> float:
+    """Return the share of its usual traffic that an upstream should get.
+
+    Parameters
+    ----------
+    state : HealthState
+        Not changed.
+    upstream_name : str
+        Name of an upstream in use.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    float
+        1 for a healthy one, less while it ramps up or is in doubt, 0 when it must
+        get nothing.
+    """
+    now_s = state.clock(now_s)
+    if not ejection.is_eligible(state, upstream_name, now_s):
+        return 0.0
+    share = doubt(state, upstream_name, now_s) / EJECT_SCORE
+    trusted = max(LEAST_DOUBT_WEIGHT, 1.0 - share)
+    if now_s < state.upstreams[upstream_name].doubted_until_at_s:
+        trusted *= REPORTED_WEIGHT
+    return trusted * ejection.ramp(state, upstream_name, now_s)
+
+
+def snapshot(state: HealthState, now_s: float) -> Mapping[str, UpstreamStatus]:
+    """Return the rows of the status page by name of upstream.
+
+    Parameters
+    ----------
+    state : HealthState
+        Not changed.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    mapping of str to UpstreamStatus
+        One row for each upstream in use.
+    """
+    now_s = state.clock(now_s)
+    return {name: _status(state, name, now_s) for name in sorted(state.upstreams)}
+
+
+def _status(state, name, now_s):
+    record = state.upstreams[name]
+    return UpstreamStatus(
+        name=name,
+        service=record.upstream.service,
+        state=_word(state, name, now_s),
+        doubt=doubt(state, name, now_s),
+        weight=weight(state, name, now_s),
+        in_flight=len(state.in_flight(name)),
+        ejected_until_at_s=record.ejected_until_at_s,
+    )
+
+
+def _word(state, name, now_s):
+    if ejection.is_draining(state, name, now_s):
+        return "draining"
+    if state.upstreams[name].ejected_until_at_s is not None:
+        return "ejected"
+    return "ramping" if ejection.ramp(state, name, now_s) < 1.0 else "healthy"
--- /dev/null
+++ b/src/chervilpitch/health/state.py
@@ -0,0 +1,237 @@
+"""What one instance believes about the upstreams it uses."""
+
+import math
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from chervilpitch.model import Upstream, region_of
+
+from .baseline import LatencyTable
+from .scores import NO_SCORES, Scores
+
+__all__ = ["Exchange", "HealthState", "RoundTrips", "UpstreamHealth"]
+
+NEVER_S = -math.inf
+PAUSE_GAP_S = 0.5
+
+
+class RoundTrips(NamedTuple):
+    """Usual time on the network that is no fault of an upstream.
+
+    Parameters
+    ----------
+    in_region_s : float
+        Round trip to another failure domain of the region, in seconds.
+    between_regions_s : float
+        Round trip to another region, in seconds.
+    """
+
+    in_region_s: float = 0.003
+    between_regions_s: float = 0.016
+
+
+class UpstreamHealth(NamedTuple):
+    """Belief about one upstream.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        The upstream as declared.
+    scores : Scores
+        Evidence against it.
+    error_rate : float
+        Moving average of the share of errors.
+    seen_at_s : float
+        When it last gave evidence.
+    ejected_until_at_s : float or None
+        Earliest time of readmission; None when not ejected.
+    ejections : int
+        Recent ejections; lengthens the next one.
+    forgiven_at_s : float
+        When the number of ejections is halved.
+    ramp_ends_at_s : float
+        When its share of traffic is whole again.
+    draining_until_at_s : float
+        Until when its own announcement that it drains is believed.
+    doubted_until_at_s : float
+        Until when peers' reports lower its weight.
+    probe_at_s : float
+        When the next probe is due; infinite for none.
+    """
+
+    upstream: Upstream
+    scores: Scores = NO_SCORES
+    error_rate: float = 0.0
+    seen_at_s: float = NEVER_S
+    ejected_until_at_s: float | None = None
+    ejections: int = 0
+    forgiven_at_s: float = math.inf
+    ramp_ends_at_s: float = NEVER_S
+    draining_until_at_s: float = NEVER_S
+    doubted_until_at_s: float = NEVER_S
+    probe_at_s: float = math.inf
+
+
+class Exchange(NamedTuple):
+    """A request in flight.
+
+    Parameters
+    ----------
+    upstream : str
+        Name of the upstream.
+    route : str
+        Name of the route.
+    request_bytes : int
+        Size of the request's body in bytes.
+    is_reused : bool
+        Whether the connection had served an exchange before.
+    started_at_s : float
+        When it started.
+    silent_from_at_s : float
+        When the upstream last sent something, or the start.
+    is_answering : bool
+        Whether the first byte of the answer has come.
+    is_waiting : bool
+        Whether the instance waits for the upstream, not for the caller.
+    """
+
+    upstream: str
+    route: str
+    request_bytes: int
+    is_reused: bool
+    started_at_s: float
+    silent_from_at_s: float
+    is_answering: bool = False
+    is_waiting: bool = True
+
+
+class HealthState:
+    """Health of all upstreams as one instance sees them.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain of the instance.
+    round_trips : RoundTrips
+        Usual time on the network.
+    """
+
+    def __init__(
+        self, failure_domain: str, round_trips: RoundTrips = RoundTrips()
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._round_trips = round_trips
+        self._upstreams: dict[str, UpstreamHealth] = {}
+        self._services: dict[str, tuple[str, ...]] = {}
+        self._exchanges: dict[Any, Exchange] = {}
+        self._in_flight: dict[str, set] = {}
+        self._latencies = LatencyTable()
+        self._now_s = NEVER_S
+        self._ticked_at_s: float | None = None
+        self._resumed_at_s = NEVER_S
+        self._report_at_s = NEVER_S
+        self._probes_resume_at_s = NEVER_S
+
+    @property
+    def upstreams(self) -> Mapping[str, UpstreamHealth]:
+        """Belief about each upstream, by name."""
+        return self._upstreams
+
+    @property
+    def services(self) -> Mapping[str, tuple[str, ...]]:
+        """Names of the upstreams of each service."""
+        return self._services
+
+    @property
+    def exchanges(self) -> Mapping[Any, Exchange]:
+        """Exchanges in flight, by id."""
+        return self._exchanges
+
+    @property
+    def latencies(self) -> LatencyTable:
+        """Recent latencies."""
+        return self._latencies
+
+    @property
+    def resumed_at_s(self) -> float:
+        """When the process last ran again after a pause."""
+        return self._resumed_at_s
+
+    def clock(self, now_s: float) -> float:
+        """Return the time, never earlier than one returned before."""
+        return max(now_s, self._now_s)
+
+    def advance(self, now_s: float) -> float:
+        """Note the time and whether the process was paused before it."""
+        now_s = self._now_s = self.clock(now_s)
+        if self._ticked_at_s is None:
+            return now_s
+        if now_s - self._ticked_at_s > PAUSE_GAP_S:
+            self._resumed_at_s = self._ticked_at_s = now_s
+        return now_s
+
+    def mark_tick(self, now_s: float) -> None:
+        """Note that the periodic work ran."""
+        self._ticked_at_s = now_s
+
+    def replace(self, name: str, **changes) -> UpstreamHealth:
+        """Change the belief about one upstream and return it."""
+        record = self._upstreams[name] = self._upstreams[name]._replace(**changes)
+        return record
+
+    def set_upstreams(self, records: dict[str, UpstreamHealth]) -> None:
+        """Set the upstreams in use."""
+        self._upstreams = records
+        services: dict[str, list[str]] = {}
+        for name in sorted(records):
+            services.setdefault(records[name].upstream.service, []).append(name)
+        self._services = {key: tuple(names) for key, names in services.items()}
+        self._latencies.forget(records.__contains__)
+
+    def peers_of(self, name: str) -> tuple[str, ...]:
+        """Return the names of the other upstreams of the same service."""
+        service = self._upstreams[name].upstream.service
+        return tuple(other for other in self._services[service] if other != name)
+
+    def add_exchange(self, exchange_id, exchange: Exchange) -> None:
+        """Note an exchange that started or moved on."""
+        self._exchanges[exchange_id] = exchange
+        self._in_flight.setdefault(exchange.upstream, set()).add(exchange_id)
+
+    def pop_exchange(self, exchange_id) -> Exchange | None:
+        """Forget an exchange and return it."""
+        exchange = self._exchanges.pop(exchange_id, None)
+        if exchange is None:
+            return None
+        held = self._in_flight[exchange.upstream]
+        held.discard(exchange_id)
+        if not held:
+            del self._in_flight[exchange.upstream]
+        return exchange
+
+    def in_flight(self, name: str) -> tuple[Exchange, ...]:
+        """Return the exchanges in flight at one upstream."""
+        return tuple(self._exchanges[key] for key in self._in_flight.get(name, ()))
+
+    def network_s(self, name: str) -> float:
+        """Return the usual time on the network to an upstream, in seconds."""
+        there = self._upstreams[name].upstream.failure_domain
+        if there == self._failure_domain:
+            return 0.0
+        if region_of(there) == region_of(self._failure_domain):
+            return self._round_trips.in_region_s
+        return self._round_trips.between_regions_s
+
+    def take_report_turn(self, now_s: float, next_at_s: float) -> bool:
+        """Tell whether a report to peers is due, and set the next time."""
+        if now_s < self._report_at_s:
+            return False
+        self._report_at_s = next_at_s
+        return True
+
+    def take_probe_turn(self, now_s: float, next_at_s: float) -> bool:
+        """Tell whether a probe may start, and set the next time."""
+        if now_s < self._probes_resume_at_s:
+            return False
+        self._probes_resume_at_s = next_at_s
+        return True
--- a/src/chervilpitch/routing/__init__.py
+++ b/src/chervilpitch/routing/__init__.py
@@ -1,1 +1,29 @@
 """Routes, upstream choice and fleet-wide budgets."""
+
+from .choice import (
+    connections_allowed,
+    put_in_force,
+    release,
+    reserve,
+    reserve_probe,
+)
+from .match import RouteTable, build_table, match
+from .state import RandomSource, Reservation, RoutingState
+from .subset import ServiceShare, serving_seats, used_upstreams
+
+__all__ = [
+    "RandomSource",
+    "Reservation",
+    "RouteTable",
+    "RoutingState",
+    "ServiceShare",
+    "build_table",
+    "connections_allowed",
+    "match",
+    "put_in_force",
+    "release",
+    "reserve",
+    "reserve_probe",
+    "serving_seats",
+    "used_upstreams",
+]
--- /dev/null
+++ b/src/chervilpitch/routing/state.py
@@ -0,0 +1,149 @@
+"""What one instance has reserved at the upstreams it uses."""
+
+from collections.abc import Mapping
+from typing import NamedTuple, Protocol
+
+from chervilpitch.health import HealthState
+from chervilpitch.model import EMPTY_CATALOGUE, Catalogue
+
+from .budgets import OPEN, Window
+from .match import RouteTable, build_table
+from .subset import ServiceShare
+
+__all__ = ["RandomSource", "Reservation", "RoutingState"]
+
+
+class RandomSource(Protocol):
+    """A seeded source of random numbers, such as ``random.Random``."""
+
+    def random(self) -> float:
+        """Return a number from 0 up to 1."""
+
+
+class Reservation(NamedTuple):
+    """A slot of an upstream taken by one exchange.
+
+    Parameters
+    ----------
+    number : int
+        Unique number within this process.
+    upstream : str
+        Name of the upstream.
+    address : str
+        Its host and port.
+    route : str
+        Name of the route; empty for a probe.
+    """
+
+    number: int
+    upstream: str
+    address: str
+    route: str
+
+
+class RoutingState:
+    """Reservations, windows and the table of routes of one instance.
+
+    Parameters
+    ----------
+    seat : int
+        Seat of the instance.
+    failure_domain : str
+        Failure domain of the instance.
+    health : HealthState
+        Health of the upstreams, changed by the functions of this package.
+    rng : RandomSource
+        Source of random numbers.
+    """
+
+    def __init__(
+        self, seat: int, failure_domain: str, health: HealthState, rng: RandomSource
+    ) -> None:
+        self._seat = seat
+        self._failure_domain = failure_domain
+        self._health = health
+        self._rng = rng
+        self._catalogue = EMPTY_CATALOGUE
+        self._table = build_table(EMPTY_CATALOGUE)
+        self._shares: Mapping[str, ServiceShare] = {}
+        self._windows: dict[str, Window] = {}
+        self._open: dict[int, Reservation] = {}
+        self._in_flight: dict[str, int] = {}
+        self._last_number = 0
+
+    @property
+    def seat(self) -> int:
+        """Seat of the instance."""
+        return self._seat
+
+    @property
+    def failure_domain(self) -> str:
+        """Failure domain of the instance."""
+        return self._failure_domain
+
+    @property
+    def health(self) -> HealthState:
+        """Health of the upstreams."""
+        return self._health
+
+    @property
+    def rng(self) -> RandomSource:
+        """Source of random numbers."""
+        return self._rng
+
+    @property
+    def table(self) -> RouteTable:
+        """Routes of the catalogue in force."""
+        return self._table
+
+    @property
+    def shares(self) -> Mapping[str, ServiceShare]:
+        """What this instance uses of each service."""
+        return self._shares
+
+    @property
+    def reservations(self) -> Mapping[int, Reservation]:
+        """Reservations that were not released yet."""
+        return self._open
+
+    def in_flight(self, upstream: str) -> int:
+        """Return how many slots of an upstream this instance holds."""
+        return self._in_flight.get(upstream, 0)
+
+    def window(self, upstream: str) -> Window:
+        """Return the window of an upstream."""
+        return self._windows.get(upstream, OPEN)
+
+    def set_window(self, upstream: str, window: Window) -> None:
+        """Set the window of an upstream."""
+        self._windows[upstream] = window
+
+    def set_catalogue(
+        self, catalogue: Catalogue, shares: Mapping[str, ServiceShare]
+    ) -> None:
+        """Follow a new catalogue; reservations stay until they are released."""
+        self._catalogue = catalogue
+        self._table = build_table(catalogue)
+        self._shares = shares
+        used = {u.name for share in shares.values() for u in share.upstreams}
+        self._windows = {n: w for n, w in self._windows.items() if n in used}
+
+    def add(self, upstream: str, address: str, route: str) -> Reservation:
+        """Take a slot."""
+        self._last_number += 1
+        held = Reservation(self._last_number, upstream, address, route)
+        self._open[held.number] = held
+        self._in_flight[upstream] = self.in_flight(upstream) + 1
+        return held
+
+    def remove(self, reservation: Reservation) -> bool:
+        """Give a slot back and tell whether it was held."""
+        held = self._open.pop(reservation.number, None)
+        if held is None:
+            return False
+        left = self._in_flight[held.upstream] - 1
+        if left:
+            self._in_flight[held.upstream] = left
+        else:
+            del self._in_flight[held.upstream]
+        return True
