Divide rates among seats with exclusive tenure and lend tokens

Cause: no decision core kept a client account within its rate over all instances together. Change: the limits package: buckets that set room aside for loans, seats held by the promises of witnesses, token requests, admission; a naive version.

--- a/src/chervilpitch/limits/__init__.py
+++ b/src/chervilpitch/limits/__init__.py
@@ -1,5 +1,37 @@
 """Rates and bursts of client accounts over all instances together."""
 
+from .admission import ASK_INTERVAL_S, admit
+from .core import (
+    AccountShare,
+    follow_instances,
+    leaving,
+    put_in_force,
+    receive,
+    shares,
+    tick,
+)
 from .homes import home_seats
+from .messages import Claim, Closing, Grant, Loan, Promise, Release, TokenRequest, Want
+from .state import LimitState
 
-__all__ = ["home_seats"]
+__all__ = [
+    "ASK_INTERVAL_S",
+    "AccountShare",
+    "Claim",
+    "Closing",
+    "Grant",
+    "LimitState",
+    "Loan",
+    "Promise",
+    "Release",
+    "TokenRequest",
+    "Want",
+    "admit",
+    "follow_instances",
+    "home_seats",
+    "leaving",
+    "put_in_force",
+    "receive",
+    "shares",
+    "tick",
+]
--- /dev/null
+++ b/src/chervilpitch/limits/admission.py
@@ -0,0 +1,65 @@
+"""Whether a request of a client account is within its rate."""
+
+from result import Err, Ok, Result
+
+from chervilpitch.model import Refusal, RefusalKind, RunState
+
+from .state import LimitState
+
+__all__ = ["ASK_INTERVAL_S", "admit"]
+
+ASK_INTERVAL_S = 0.05
+"""Shortest time between two token requests for one account."""
+
+
+def admit(
+    state: LimitState,
+    account_name: str,
+    now_s: float,
+    cost: float = 1.0,
+    is_retry: bool = False,
+) -> Result[None, Refusal]:
+    """Admit a request when tokens for it are at hand, and spend them.
+
+    Parameters
+    ----------
+    state : LimitState
+        The instance's state; the tokens are taken out of it.
+    account_name : str
+        Name of the client account that the caller's key belongs to.
+    now_s : float
+        Monotonic time in seconds, read after any wait for a lock.
+    cost : float, optional
+        Tokens that the request costs.
+    is_retry : bool, optional
+        Whether the request was refused here before and waited; it then counts
+        no second time towards the demand.
+
+    Returns
+    -------
+    Ok or Err of Refusal
+        ``Ok(None)``, or a refusal of a request that was not run. Its
+        ``retry_at_s`` is when tokens asked for may have arrived.
+    """
+    account = state.catalogue.accounts.get(account_name)
+    if account is None:
+        refusal = Refusal(RefusalKind.ACCOUNT_NOT_ADMITTED, RunState.NOT_RUN)
+        return Err(refusal)
+    borrowing = state.borrowing(account_name, now_s)
+    if not is_retry:
+        borrowing.attempt(cost)
+    bucket = state.bucket(account, now_s)
+    level = bucket.level(now_s) if bucket else 0.0
+    if borrowing.tokens(now_s) + level < cost:
+        borrowing.miss(cost)
+        return Err(_refusal(now_s))
+    lacking = borrowing.spend(cost)
+    if bucket and lacking > 0:
+        bucket.take(min(lacking, level), now_s)
+    return Ok(None)
+
+
+def _refusal(now_s: float) -> Refusal:
+    retry_at_s = now_s + ASK_INTERVAL_S
+    kind = RefusalKind.RATE_EXCEEDED
+    return Refusal(kind, RunState.NOT_RUN, retry_at_s=retry_at_s)
--- a/src/chervilpitch/limits/homes.py
+++ b/src/chervilpitch/limits/homes.py
@@ -4,12 +4,16 @@
 
 from chervilpitch.membership.placement import rank
 
-__all__ = ["home_seats"]
+__all__ = ["HOMES_PER_FAILURE_DOMAIN", "home_seats"]
 
-HOMES_PER_FAILURE_DOMAIN = 2
+HOMES_PER_FAILURE_DOMAIN = 1
 
 
-def home_seats(account: str, seats: Mapping[int, str]) -> tuple[int, ...]:
+def home_seats(
+    account: str,
+    seats: Mapping[int, str],
+    per_failure_domain: int = HOMES_PER_FAILURE_DOMAIN,
+) -> tuple[int, ...]:
     """Return the seats that mint an account's rate, in a stable order.
 
     Parameters
@@ -18,6 +22,8 @@
         Name of the client account.
     seats : mapping of int to str
         Failure domain of each seat.
+    per_failure_domain : int, optional
+        Number of homes in each failure domain.
 
     Returns
     -------
@@ -29,8 +35,10 @@
     >>> home_seats("fitters", {0: "punjab/a", 1: "punjab/b"})
     (0, 1)
     """
-    homes = []
-    for domain in sorted(set(seats.values())):
-        members = (str(seat) for seat, where in seats.items() if where == domain)
-        homes.extend(rank(account, members)[:HOMES_PER_FAILURE_DOMAIN])
+    members: dict[str, list[str]] = {}
+    for seat, domain in seats.items():
+        members.setdefault(domain, []).append(str(seat))
+    homes: list[str] = []
+    for domain in sorted(members):
+        homes.extend(rank(account, members[domain])[:per_failure_domain])
     return tuple(sorted(int(seat) for seat in homes))
--- /dev/null
+++ b/src/chervilpitch/limits/state.py
@@ -0,0 +1,214 @@
+"""What one instance knows about the rates of client accounts."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from chervilpitch.model import EMPTY_CATALOGUE, Catalogue, ClientAccount, Sender
+
+from .borrowing import BORROWED_SPAN_S, Borrowing
+from .bucket import MAX_CLOCK_DRIFT, Bucket
+from .homes import HOMES_PER_FAILURE_DOMAIN, home_seats
+from .tenure import Tenure
+
+__all__ = ["LENT_SPAN_S", "LimitState", "PendingRequest"]
+
+LENT_SPAN_S = BORROWED_SPAN_S * (1 + 3 * MAX_CLOCK_DRIFT)
+"""How long a giver keeps the room of a loan, from the receipt of the request."""
+
+
+class PendingRequest(NamedTuple):
+    """A token request that may still be answered.
+
+    Parameters
+    ----------
+    sent_at_s : float
+        Monotonic time in seconds of its sending.
+    to : str
+        Name of the instance asked.
+    wants : mapping of str to float
+        Tokens wanted, by account.
+    """
+
+    sent_at_s: float
+    to: str
+    wants: Mapping[str, float]
+
+
+class LimitState:
+    """Seat, buckets and loans of one instance.
+
+    Parameters
+    ----------
+    own : Sender
+        Name and incarnation of this instance.
+    seat : int or None
+        Seat that it takes; None mints nothing and only borrows.
+    homes_per_failure_domain : int, optional
+        Number of seats in each failure domain that mint an account's rate; the
+        same on all instances.
+    """
+
+    def __init__(
+        self,
+        own: Sender,
+        seat: int | None,
+        homes_per_failure_domain: int = HOMES_PER_FAILURE_DOMAIN,
+    ):
+        self._own = own
+        self._homes_per_failure_domain = homes_per_failure_domain
+        self._tenure = Tenure(own.incarnation, seat)
+        self._catalogue: Catalogue = EMPTY_CATALOGUE
+        self._holders: dict[int, tuple[str, ...]] = {}
+        self._homes: dict[str, tuple[int, ...]] = {}
+        self._buckets: dict[str, Bucket] = {}
+        self._buckets_since_s: float | None = None
+        self._empty_at_s: dict[str, float] = {}
+        self._borrowings: dict[str, Borrowing] = {}
+        self._pending: dict[int, PendingRequest] = {}
+        self._next_number = 1
+
+    @property
+    def own(self) -> Sender:
+        """Name and incarnation of this instance."""
+        return self._own
+
+    @property
+    def tenure(self) -> Tenure:
+        """What it knows of its own seat and has promised for others."""
+        return self._tenure
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Everything in force."""
+        return self._catalogue
+
+    @property
+    def borrowings(self) -> Mapping[str, Borrowing]:
+        """Loans and demand, by account; only accounts in use here."""
+        return self._borrowings
+
+    @property
+    def buckets(self) -> Mapping[str, Bucket]:
+        """Buckets that are not known to be full, by account."""
+        return self._buckets
+
+    @property
+    def pending(self) -> dict[int, PendingRequest]:
+        """Token requests that may still be answered, by number."""
+        return self._pending
+
+    def holders(self, seat: int) -> tuple[str, ...]:
+        """Return the names of the other instances listed for a seat."""
+        return self._holders.get(seat, ())
+
+    def follow_holders(self, holders: dict[int, tuple[str, ...]]) -> None:
+        """Follow the names of the other instances listed for each seat."""
+        self._holders = holders
+
+    def homes(self, account: str) -> tuple[int, ...]:
+        """Return the seats that mint an account's rate."""
+        homes = self._homes.get(account)
+        if homes is None:
+            seats = self._catalogue.seats
+            homes = home_seats(account, seats, self._homes_per_failure_domain)
+            self._homes[account] = homes
+        return homes
+
+    def bucket(self, account: ClientAccount, now_s: float) -> Bucket | None:
+        """Return the bucket minted here for an account.
+
+        Parameters
+        ----------
+        account : ClientAccount
+            The client account.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Bucket or None
+            None when the seat is not held now or is no home of the account.
+        """
+        if not self._tenure.holds(now_s):
+            return None
+        if self._buckets_since_s != self._tenure.held_since_s:
+            self._buckets.clear()
+            self._buckets_since_s = self._tenure.held_since_s
+        bucket = self._buckets.get(account.name)
+        if bucket is None and self._tenure.seat in self.homes(account.name):
+            bucket = Bucket(*self.part(account), self._minting_from_s(account.name))
+            self._buckets[account.name] = bucket
+        return bucket
+
+    def part(self, account: ClientAccount) -> tuple[float, float]:
+        """Return the rate and burst that each home of an account mints."""
+        count = len(self.homes(account.name))
+        return account.rate_per_s / count, account.burst / count
+
+    def borrowing(self, account: str, now_s: float) -> Borrowing:
+        """Return the loans and demand of an account, new when there are none."""
+        borrowing = self._borrowings.get(account)
+        if borrowing is None:
+            borrowing = Borrowing(account, now_s)
+            self._borrowings[account] = borrowing
+        return borrowing
+
+    def next_number(self) -> int:
+        """Return a number that no request of this incarnation has had."""
+        number = self._next_number
+        self._next_number += 1
+        return number
+
+    def replace_catalogue(self, catalogue: Catalogue, now_s: float) -> None:
+        """Take a new catalogue; no bucket is filled by the change.
+
+        Parameters
+        ----------
+        catalogue : Catalogue
+            Everything in force from now on.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        before = self._catalogue
+        if before is not EMPTY_CATALOGUE:
+            self._settle_buckets(catalogue, now_s)
+        self._catalogue = catalogue
+        if catalogue.seats != before.seats:
+            self._homes.clear()
+            self._buckets.clear()
+            self._tenure.follow_seats(catalogue.seats)
+        for name in list(self._borrowings):
+            if name not in catalogue.accounts:
+                del self._borrowings[name]
+
+    def forget_idle(self, now_s: float) -> None:
+        """Drop full buckets and idle borrowings; they are rebuilt on demand."""
+        for name, bucket in list(self._buckets.items()):
+            if name not in self._empty_at_s and bucket.is_full(now_s):
+                del self._buckets[name]
+        for name, borrowing in list(self._borrowings.items()):
+            if borrowing.is_idle(now_s):
+                del self._borrowings[name]
+                self._homes.pop(name, None)
+
+    def _minting_from_s(self, account: str) -> float:
+        since_s = self._tenure.held_since_s + LENT_SPAN_S
+        return max(since_s, self._empty_at_s.get(account, since_s))
+
+    def _settle_buckets(self, catalogue: Catalogue, now_s: float) -> None:
+        before = self._catalogue.accounts
+        for name, account in catalogue.accounts.items():
+            old = before.get(name)
+            if old is None:
+                self._empty_at_s[name] = now_s + LENT_SPAN_S
+            elif old != account:
+                self._change_bucket(old, account, now_s)
+        for name in before.keys() - catalogue.accounts.keys():
+            self._buckets.pop(name, None)
+
+    def _change_bucket(
+        self, old: ClientAccount, account: ClientAccount, now_s: float
+    ) -> None:
+        bucket = self.bucket(old, now_s)
+        if bucket is not None:
+            bucket.change(*self.part(account), now_s)
