Read the published list and answer callers' questions for addresses

Cause: callers ask any instance for addresses, while the platform's list of instances lags and may be bad.

Ruled out: trusting the list alone; dropping listed instances that are not heard (a one-way cut would empty the answer); ordering incarnations by their numbers, which are random.

Change: listing, per-incarnation evidence, heartbeats between bounded neighbours, standings, and address answers with a stored deadline.

Tests: tests/membership and the doctests pass; views under faults are not tested yet.

--- a/src/chervilpitch/membership/__init__.py
+++ b/src/chervilpitch/membership/__init__.py
@@ -1,5 +1,58 @@
 """Instances of the fleet: who is there and what is placed where."""
 
+from .address import AddressAnswer, answer, linger_until, not_after_s
+from .heartbeats import begin_leaving, receive, tick
+from .homeseats import HomeSeats
+from .listing import (
+    ListProblem,
+    ListProblemKind,
+    format_instances,
+    parse_instances,
+    shared_seats,
+)
+from .messages import Announcement, Hello, Unheard
+from .neighbours import neighbours
 from .placement import rank, weight
+from .standing import Condition, Standing
+from .view import (
+    InstanceSnapshot,
+    MembershipState,
+    follow_list,
+    instances,
+    is_current,
+    snapshot,
+    standings,
+    view_age,
+)
 
-__all__ = ["rank", "weight"]
+__all__ = [
+    "AddressAnswer",
+    "Announcement",
+    "Condition",
+    "Hello",
+    "HomeSeats",
+    "InstanceSnapshot",
+    "ListProblem",
+    "ListProblemKind",
+    "MembershipState",
+    "Standing",
+    "Unheard",
+    "answer",
+    "begin_leaving",
+    "follow_list",
+    "format_instances",
+    "instances",
+    "is_current",
+    "linger_until",
+    "neighbours",
+    "not_after_s",
+    "parse_instances",
+    "rank",
+    "receive",
+    "shared_seats",
+    "snapshot",
+    "standings",
+    "tick",
+    "view_age",
+    "weight",
+]
