Serve a request end to end through separate processes

Cause: nothing had run end to end. Change: runtime that drives the cores, cleo commands serve and settings, a demo and whole-process tests over stand-ins.

--- a/src/chervilpitch/accounts/__init__.py
+++ b/src/chervilpitch/accounts/__init__.py
@@ -11,6 +11,8 @@
 )
 from .identify import MAX_KEY_BYTES, check_admitted, identify
 from .keys import PresentedKey, digest_of
+from .messages import RevisionAnswer, RevisionQuestion
+from .questions import QuestionState
 
 __all__ = [
     "Evidence",
@@ -18,6 +20,9 @@
     "InProgress",
     "MAX_KEY_BYTES",
     "PresentedKey",
+    "QuestionState",
+    "RevisionAnswer",
+    "RevisionQuestion",
     "check",
     "check_admitted",
     "digest_of",
--- a/src/chervilpitch/cli/main.py
+++ b/src/chervilpitch/cli/main.py
@@ -6,8 +6,12 @@
 
 import chervilpitch
 
+from .serve import ServeCommand, SettingsCommand
+
 __all__ = ["build_application", "main"]
 
+COMMANDS = (ServeCommand, SettingsCommand)
+
 
 def build_application() -> Application:
     """Return the command-line application with every command added.
@@ -17,7 +21,10 @@
     cleo.application.Application
         The application, ready to run.
     """
-    return Application("chervilpitch", chervilpitch.__version__)
+    application = Application("chervilpitch", chervilpitch.__version__)
+    for command in COMMANDS:
+        application.add(command())
+    return application
 
 
 def main() -> None:
--- /dev/null
+++ b/src/chervilpitch/cli/serve.py
@@ -0,0 +1,64 @@
+"""The ``serve`` and ``settings`` commands."""
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from chervilpitch import settings
+from chervilpitch.runtime.instance import serve
+
+from .exits import ExitCode
+
+__all__ = ["ServeCommand", "SettingsCommand"]
+
+
+class SettingsCommand(Command):
+    """Check the settings of an instance."""
+
+    name = "settings"
+    description = "Check the settings of an instance."
+    arguments = [argument("file", "INI file of settings.")]
+    help = "Example: chervilpitch settings examples/qureshi.ini"
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        loaded = settings.load(self.argument("file"))
+        if loaded.is_err():
+            print_problems(self, loaded.unwrap_err())
+            return ExitCode.BAD_SETTINGS
+        self.line(f"{self.argument('file')}: fine")
+        return ExitCode.FINE
+
+
+class ServeCommand(Command):
+    """Run one instance."""
+
+    name = "serve"
+    description = "Run one instance until SIGTERM."
+    arguments = [argument("file", "INI file of settings.")]
+    help = "Example: chervilpitch serve /etc/chervilpitch/instance.ini"
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        loaded = settings.load(self.argument("file"))
+        if loaded.is_err():
+            print_problems(self, loaded.unwrap_err())
+            return ExitCode.BAD_SETTINGS
+        ended = serve(loaded.unwrap())
+        if ended.is_err():
+            print_problems(self, (ended.unwrap_err(),))
+            return ExitCode.BAD_SETTINGS
+        return ExitCode.FINE
+
+
+def print_problems(command: Command, problems) -> None:
+    """Print every problem on a line of its own, to standard error.
+
+    Parameters
+    ----------
+    command : cleo.commands.command.Command
+        The command that found them.
+    problems : iterable
+        Typed problems.
+    """
+    for problem in problems:
+        command.line_error(str(problem))
--- a/src/chervilpitch/pipeline/application.py
+++ b/src/chervilpitch/pipeline/application.py
@@ -26,6 +26,7 @@
     with_length,
 )
 from .pipe import run
+from .visit import Answer, Visit
 
 __all__ = ["ADDRESS_PATH", "CallersApplication"]
 
@@ -72,17 +73,27 @@
         headers = sent_by_caller(environ)
         if environ["PATH_INFO"] == ADDRESS_PATH:
             return self._answer_addresses(environ, headers, start_response)
+        visit = Visit(self._decisions)
+        try:
+            answer = self._serve(environ, headers, start_response, visit)
+        except BaseException:
+            visit.leave()
+            raise
+        return Answer(answer, visit)
+
+    def _serve(self, environ, headers, start_response, visit):
         exchange = Exchange(self._request(environ, headers))
-        outcome = run(
-            self._filters_of(environ), exchange, self._clock, self._metrics.filter_took
-        )
+        filters = self._filters_of(environ, visit)
+        outcome = run(filters, exchange, self._clock, self._metrics.filter_took)
         if outcome.is_err():
-            return self._refuse(outcome.unwrap_err(), headers, start_response)
+            refusal = outcome.unwrap_err()
+            return self._refuse(refusal, headers, start_response, visit)
         return self._deliver(outcome.unwrap(), start_response)
 
-    def _filters_of(self, environ):
+    def _filters_of(self, environ, visit):
         receive = functools.partial(self._receive, environ)
-        return self._before_body + (("receive", receive),) + self._after_body
+        middle = (("enter", visit.enter), ("receive", receive))
+        return self._before_body + middle + self._after_body
 
     def _receive(self, environ, exchange) -> Result[Exchange, Refusal]:
         length = _declared_length(environ)
@@ -90,7 +101,8 @@
         return received.map(
             lambda body: exchange._replace(
                 request=exchange.request._replace(
-                    body=body, headers=with_length(exchange.request.headers, body.length)
+                    body=body,
+                    headers=with_length(exchange.request.headers, body.length),
                 )
             )
         )
@@ -126,12 +138,20 @@
             return []
         return delivery
 
-    def _refuse(self, refusal, headers, start_response):
+    def _refuse(self, refusal, headers, start_response, visit=None):
         told = before_ticket(refusal, self._may_have_begun(refusal, headers))
         self._metrics.refused(refusal.kind.value)
-        reply = refusal_reply(told, self._clock())
+        ticket = self._next_ticket(told, visit)
+        reply = refusal_reply(told, self._clock(), ticket)
         return self._send(reply, start_response)
 
+    def _next_ticket(self, refusal, visit) -> str:
+        if visit is None or visit.route is None:
+            return ""
+        if refusal.run is not RunState.NOT_RUN:
+            return ""
+        return self._decisions.new_ticket(visit.account, visit.route) or ""
+
     @staticmethod
     def _may_have_begun(refusal, headers):
         return bool(ticket_text(headers)) and refusal.kind in BEFORE_TICKET_KINDS
@@ -168,7 +188,6 @@
         RefusalKind.NOT_READY,
         RefusalKind.ROUTE_UNKNOWN,
         RefusalKind.ACCOUNT_NOT_ADMITTED,
-        RefusalKind.RATE_EXCEEDED,
         RefusalKind.TOO_MANY_IN_FLIGHT,
     )
 )
--- a/src/chervilpitch/pipeline/filters.py
+++ b/src/chervilpitch/pipeline/filters.py
@@ -7,7 +7,7 @@
 
 from .exchange import Exchange
 
-__all__ = ["admit", "close_record", "enter", "identify", "match_route", "remember"]
+__all__ = ["admit", "close_record", "identify", "match_route", "remember"]
 
 
 def identify(decisions, exchange: Exchange) -> Result[Exchange, Refusal]:
@@ -29,24 +29,6 @@
     return account.map(lambda found: exchange._replace(account=found))
 
 
-def enter(decisions, exchange: Exchange) -> Result[Exchange, Refusal]:
-    """Count the request among those of its client account in progress.
-
-    Parameters
-    ----------
-    decisions : Decisions
-        The decision cores.
-    exchange : Exchange
-        An identified exchange.
-
-    Returns
-    -------
-    Result
-        The exchange, or a refusal.
-    """
-    return decisions.enter(exchange.account.name).map(lambda _: exchange)
-
-
 def match_route(decisions, exchange: Exchange) -> Result[Exchange, Refusal]:
     """Find the route and set the deadline.
 
--- a/src/chervilpitch/pipeline/headers.py
+++ b/src/chervilpitch/pipeline/headers.py
@@ -5,7 +5,13 @@
 from chervilpitch.accounts import PresentedKey
 from chervilpitch.transport.upstreams import HOP_BY_HOP, Headers
 
-__all__ = ["end_to_end", "presented_key", "sent_by_caller", "ticket_text", "with_length"]
+__all__ = [
+    "end_to_end",
+    "presented_key",
+    "sent_by_caller",
+    "ticket_text",
+    "with_length",
+]
 
 KEY_HEADER = "authorization"
 KEY_SCHEME = "bearer"
--- a/src/chervilpitch/runtime/decisions.py
+++ b/src/chervilpitch/runtime/decisions.py
@@ -1,29 +1,17 @@
 """All decision cores of one instance behind one lock."""
 
 import hashlib
-import random
 import secrets
-import threading
-from collections.abc import Callable
 from typing import TypedDict
 
 from result import Err, Ok, Result
 
-from chervilpitch import accounts, health, limits, requests, routing
-from chervilpitch.model import (
-    EMPTY_CATALOGUE,
-    Catalogue,
-    ClientAccount,
-    Effect,
-    Instance,
-    Refusal,
-    RefusalKind,
-    Route,
-    RunState,
-    Sender,
-)
+from chervilpitch import accounts, health, limits, membership, requests, routing
+from chervilpitch.model import ClientAccount, Refusal, Route
 from chervilpitch.pipeline.exchange import Exchange
 
+from .cores import Cores
+
 __all__ = ["AddressAnswer", "Decisions", "Held"]
 
 
@@ -85,55 +73,23 @@
 
 
 class Decisions:
-    """The decision cores of one instance.
+    """What the request path asks of the decision cores.
 
     Parameters
     ----------
-    own : Instance
-        This instance.
-    incarnation : int
-        Random number drawn when the process started.
-    secret : bytes
-        Secret shared by the fleet.
+    cores : Cores
+        The decision cores.
     requests_per_account : int
         Most requests of one client account at once.
-    clock : callable
-        Returns monotonic seconds.
-    carry_out : callable
-        Takes the effects of a decision.
     """
 
-    def __init__(
-        self,
-        own: Instance,
-        incarnation: int,
-        secret: bytes,
-        requests_per_account: int,
-        clock: Callable[[], float],
-        carry_out: Callable[[tuple[Effect, ...]], None],
-    ):
-        self._own = own
-        self._clock = clock
-        self._carry_out = carry_out
-        self._lock = threading.RLock()
-        self._catalogue: Catalogue = EMPTY_CATALOGUE
-        sender = Sender(own.name, incarnation)
-        self._health = health.HealthState()
-        rng = random.Random(incarnation)
-        self._routing = routing.RoutingState(
-            own.seat, own.failure_domain, self._health, rng
-        )
-        self._limits = limits.LimitState(sender, own.seat)
-        self._records = requests.Records(own.name, incarnation, secret)
-        self._freshness = accounts.Freshness(own)
+    def __init__(self, cores: Cores, requests_per_account: int):
+        self._cores = cores
+        self._lock = cores.lock
+        self._clock = cores.clock
         self._in_progress = accounts.InProgress(requests_per_account)
         self._retry_budgets: dict[str, requests.RetryBudget] = {}
 
-    @property
-    def catalogue(self) -> Catalogue:
-        """Everything in force."""
-        return self._catalogue
-
     @property
     def in_progress(self) -> int:
         """Requests in progress."""
@@ -142,8 +98,10 @@
     def identify(self, key) -> Result[ClientAccount, Refusal]:
         """Return the client account of a key, if the catalogue is fresh."""
         with self._lock:
-            fresh = accounts.check(self._freshness, self._clock())
-            return fresh.and_then(lambda _: accounts.identify(self._catalogue, key))
+            fresh = accounts.check(self._cores.freshness, self._clock())
+            return fresh.and_then(
+                lambda _: accounts.identify(self._cores.catalogue, key)
+            )
 
     def enter(self, account: str) -> Result[None, Refusal]:
         """Count a request that begins."""
@@ -158,19 +116,19 @@
     def match(self, path: str, account: str) -> Result[Route, Refusal]:
         """Return the route of a path."""
         with self._lock:
-            return routing.match(self._routing.table, path, account)
+            return routing.match(self._cores.routing.table, path, account)
 
     def begin(self, exchange: Exchange):
         """Decide whether a request that must not be repeated may run."""
         text = exchange.request.ticket
         verified = Ok(None)
         if text is not None:
-            verified = requests.verify(self._records.secret, text)
+            verified = requests.verify(self._cores.records.secret, text)
         digest = _digest_of(exchange)
         with self._lock:
             return verified.and_then(
                 lambda ticket: requests.begin(
-                    self._records,
+                    self._cores.records,
                     ticket,
                     exchange.account.name,
                     exchange.route.name,
@@ -183,14 +141,14 @@
         """Record how a request that must not be repeated ended."""
         with self._lock:
             effects = requests.finish(
-                self._records, record_id, outcome, self._clock()
+                self._cores.records, record_id, outcome, self._clock()
             )
-        self._carry_out(effects)
+        self._cores.carry_out(effects)
 
     def admit(self, account: str) -> Result[None, Refusal]:
         """Charge a request to the rate of its client account."""
         with self._lock:
-            return limits.admit(self._limits, account, self._clock())
+            return limits.admit(self._cores.limits, account, self._clock())
 
     def reserve(self, exchange: Exchange, failed) -> Result[Held, Refusal]:
         """Take a slot of an upstream; the key is checked once more before."""
@@ -201,7 +159,7 @@
             if not failed:
                 self._budget(exchange.route.service).earn()
             reserved = routing.reserve(
-                self._routing,
+                self._cores.routing,
                 exchange.route,
                 failed,
                 self._clock(),
@@ -214,17 +172,17 @@
         """Give a slot back and take in how the exchange ended."""
         with self._lock:
             effects = routing.release(
-                self._routing, held.reservation, observation, self._clock()
+                self._cores.routing, held.reservation, observation, self._clock()
             )
-        self._carry_out(effects)
+        self._cores.carry_out(effects)
 
     def observe(self, held: Held, observation) -> None:
         """Take in an observation that ends no exchange."""
         with self._lock:
             effects = health.observe(
-                self._health, held.upstream, observation, self._clock()
+                self._cores.health, held.upstream, observation, self._clock()
             )
-        self._carry_out(effects)
+        self._cores.carry_out(effects)
 
     def may_retry(self, exchange: Exchange, stage, attempts: int) -> bool:
         """Decide whether a failed attempt may be followed by another."""
@@ -250,7 +208,7 @@
             return None
         with self._lock:
             granted = requests.grant(
-                self._records,
+                self._cores.records,
                 account,
                 route.name,
                 secrets.token_hex(16),
@@ -264,31 +222,31 @@
             lambda account: self._addresses_of(account, path, near)
         )
 
-    def put_in_force(self, catalogue: Catalogue) -> None:
-        """Follow a new catalogue in every core at once."""
-        with self._lock:
-            now_s = self._clock()
-            self._catalogue = catalogue
-            effects = accounts.put_in_force(self._freshness, catalogue, now_s)
-            effects += limits.put_in_force(self._limits, catalogue, now_s)
-            effects += routing.put_in_force(self._routing, catalogue, now_s)
-        self._carry_out(effects)
-
     def _held(self, reservation):
-        allowed = routing.connections_allowed(self._routing, reservation.upstream)
+        allowed = routing.connections_allowed(self._cores.routing, reservation.upstream)
         return Held(reservation, allowed)
 
     def _budget(self, service):
         return self._retry_budgets.setdefault(service, requests.RetryBudget())
 
     def _addresses_of(self, account, path, near):
+        cores = self._cores
+        now_s = self._clock()
+        with self._lock:
+            given = membership.answer(
+                cores.membership,
+                cores.catalogue.seats,
+                account.name,
+                now_s,
+                caller_domain=near or None,
+            )
         route = self.match(path, account.name) if path else Err(None)
         ticket = route.map_or(None, lambda found: self.new_ticket(account.name, found))
         answer = AddressAnswer(
-            addresses=[self._own.callers_address],
-            good_for_s=1.0,
+            addresses=list(given.addresses),
+            good_for_s=round(membership.not_after_s(given, now_s), 3),
             ticket=ticket,
-            ticket_address=self._own.callers_address if ticket else None,
+            ticket_address=cores.own.callers_address if ticket else None,
         )
         return Ok(answer)
 
--- /dev/null
+++ b/src/chervilpitch/runtime/loop.py
@@ -0,0 +1,103 @@
+"""The thread of the peers' channel and the ticks."""
+
+import asyncio
+import threading
+
+from chervilpitch.model import Effect, Record, Send
+from chervilpitch.transport.clock import wall_ns
+from chervilpitch.transport.codec import Envelope
+from chervilpitch.transport.peers import PeersChannel
+
+from .control import Control
+from .cores import Cores
+
+__all__ = ["ControlLoop"]
+
+TICK_S = 0.1
+
+
+class ControlLoop:
+    """Runs the control of one instance in a thread of its own.
+
+    Parameters
+    ----------
+    cores : Cores
+        The decision cores.
+    control : Control
+        Drives the cores.
+    secret : bytes
+        Secret shared by the fleet.
+    record : callable
+        Takes each event for the time line.
+    """
+
+    def __init__(self, cores: Cores, control: Control, secret: bytes, record):
+        self._cores = cores
+        self._control = control
+        self._record = record
+        self._channel = PeersChannel(secret, cores.own.name, self._deliver)
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._listening = threading.Event()
+        self._stopping = False
+
+    @property
+    def channel(self) -> PeersChannel:
+        """The channel to other instances."""
+        return self._channel
+
+    def start(self) -> None:
+        """Listen for peers and begin to tick."""
+        self._thread.start()
+        self._listening.wait()
+
+    def stop(self) -> None:
+        """End the thread after what is queued was sent."""
+        self._stopping = True
+        self._thread.join()
+
+    def carry_out(self, effects: tuple[Effect, ...]) -> None:
+        """Carry out effects, from any thread.
+
+        Parameters
+        ----------
+        effects : tuple of Effect
+            What a decision asked for.
+        """
+        sends = [effect for effect in effects if isinstance(effect, Send)]
+        if sends:
+            self._loop.call_soon_threadsafe(self._send_all, sends)
+        for effect in effects:
+            if isinstance(effect, Record):
+                self._record(effect.event)
+
+    def _run(self):
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_until_complete(self._serve())
+
+    async def _serve(self):
+        await self._channel.listen(self._cores.own.peers_address)
+        self._listening.set()
+        while not self._stopping:
+            self._control.tick()
+            self._forget_connections()
+            await asyncio.sleep(TICK_S)
+        await asyncio.sleep(TICK_S)
+        await self._channel.close()
+
+    def _forget_connections(self):
+        known = self._control.instances.values()
+        self._channel.forget(frozenset(item.peers_address for item in known))
+
+    def _send_all(self, sends):
+        for effect in sends:
+            peer = self._control.instances.get(effect.to)
+            if peer is not None:
+                envelope = self._envelope(effect)
+                self._channel.send(peer.peers_address, envelope)
+
+    def _envelope(self, effect):
+        return Envelope(self._cores.sender, effect.to, wall_ns(), 0, effect.message)
+
+    def _deliver(self, envelope):
+        self._control.receive(envelope.message, envelope.sender)
--- /dev/null
+++ b/src/chervilpitch/runtime/status.py
@@ -0,0 +1,85 @@
+"""What an instance tells operators of itself."""
+
+from typing import Any, TypedDict
+
+from chervilpitch import accounts, health, limits, membership
+
+from .control import Control
+from .cores import Cores
+from .decisions import Decisions
+
+__all__ = ["Status", "status"]
+
+
+class Status(TypedDict):
+    """Status of one instance.
+
+    Attributes
+    ----------
+    instance, failure_domain : str
+        Who it is.
+    incarnation : int
+        Random number drawn when its process started.
+    revision : int
+        Revision in force.
+    digest : str
+        Digest of that release note.
+    evidence : str
+        What its trust in the revision rests on.
+    holds_seat : bool
+        Whether it may mint the rates of its seat.
+    in_progress : int
+        Requests in progress.
+    instances, upstreams, shares : list
+        The fleet, the upstreams and the accounts in use as it sees them.
+    """
+
+    instance: str
+    failure_domain: str
+    incarnation: int
+    revision: int
+    digest: str
+    evidence: str
+    holds_seat: bool
+    in_progress: int
+    instances: list[Any]
+    upstreams: list[Any]
+    shares: list[Any]
+
+
+def status(cores: Cores, control: Control, decisions: Decisions) -> Status:
+    """Return the status of an instance.
+
+    Parameters
+    ----------
+    cores : Cores
+        The decision cores.
+    control : Control
+        Drives the cores.
+    decisions : Decisions
+        The request path's view of the cores.
+
+    Returns
+    -------
+    Status
+        Plain data; holds no key.
+    """
+    with cores.lock:
+        now_s = cores.clock()
+        return Status(
+            instance=cores.own.name,
+            failure_domain=cores.own.failure_domain,
+            incarnation=cores.sender.incarnation,
+            revision=cores.catalogue.revision,
+            digest=cores.catalogue.digest,
+            evidence=accounts.evidence(cores.freshness, now_s).value,
+            holds_seat=cores.limits.tenure.holds(now_s),
+            in_progress=decisions.in_progress,
+            instances=list(membership.snapshot(cores.membership, now_s)),
+            upstreams=[_plain(item) for item in health.snapshot(cores.health, now_s)],
+            shares=[_plain(item) for item in limits.shares(cores.limits, now_s)],
+        )
+
+
+def _plain(item: Any) -> Any:
+    return item._asdict() if hasattr(item, "_asdict") else item
--- a/src/chervilpitch/transport/codec.py
+++ b/src/chervilpitch/transport/codec.py
@@ -7,7 +7,7 @@
 import capnp
 from result import Err, Ok, Result
 
-from chervilpitch import limits, spread
+from chervilpitch import accounts, limits
 from chervilpitch.errors import FrameError
 from chervilpitch.health.messages import HealthReport
 from chervilpitch.membership.messages import Hello
@@ -29,9 +29,8 @@
     "release": limits.Release,
     "tokenRequest": limits.TokenRequest,
     "grant": limits.Grant,
-    "revisionAdvert": spread.RevisionAdvert,
-    "noteRequest": spread.NoteRequest,
-    "notesReply": spread.NotesReply,
+    "revisionQuestion": accounts.RevisionQuestion,
+    "revisionAnswer": accounts.RevisionAnswer,
 }
 _NAMES = {kind: name for name, kind in MESSAGE_TYPES.items()}
 
@@ -101,7 +100,7 @@
         fields = SCHEMA.Envelope.from_bytes_packed(
             payload, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         ).to_dict()
-        (name, content) = next(iter(fields["body"].items()))
+        name, content = next(iter(fields["body"].items()))
         message = _typed(MESSAGE_TYPES[name], content)
         sender = Sender(fields["sender"], fields["incarnation"])
         return Ok(
@@ -119,9 +118,7 @@
 
 def _plain(value: Any) -> Any:
     if hasattr(value, "_fields"):
-        return {
-            _camel(name): _plain(getattr(value, name)) for name in value._fields
-        }
+        return {_camel(name): _plain(getattr(value, name)) for name in value._fields}
     if isinstance(value, tuple):
         return [_plain(item) for item in value]
     return value
@@ -134,7 +131,7 @@
             **{name: _typed(hints[name], value[_camel(name)]) for name in kind._fields}
         )
     if typing.get_origin(kind) is tuple:
-        (item_kind, _) = typing.get_args(kind)
+        item_kind, _ = typing.get_args(kind)
         return tuple(_typed(item_kind, item) for item in value)
     return value
 
--- a/src/chervilpitch/transport/frames.py
+++ b/src/chervilpitch/transport/frames.py
@@ -8,7 +8,13 @@
 
 from chervilpitch.errors import FrameError
 
-__all__ = ["HEADER_BYTES", "MAX_PAYLOAD_BYTES", "open_payload", "payload_length", "seal"]
+__all__ = [
+    "HEADER_BYTES",
+    "MAX_PAYLOAD_BYTES",
+    "open_payload",
+    "payload_length",
+    "seal",
+]
 
 MAX_PAYLOAD_BYTES = 2_097_152
 CODE_BYTES = hashlib.sha256().digest_size
--- a/src/chervilpitch/transport/upstreams.py
+++ b/src/chervilpitch/transport/upstreams.py
@@ -16,7 +16,6 @@
 )
 
 from chervilpitch.errors import UpstreamError
-
 from chervilpitch.requests import FailureStage
 
 from .clock import monotonic_s
@@ -194,9 +193,7 @@
         self._pools = {}
         self._lock = threading.Lock()
 
-    def send(
-        self, request: UpstreamRequest
-    ) -> Result[UpstreamAnswer, UpstreamFailure]:
+    def send(self, request: UpstreamRequest) -> Result[UpstreamAnswer, UpstreamFailure]:
         """Send a request once and wait for the head of its answer.
 
         Parameters
@@ -253,9 +250,7 @@
 
 def _new_pool(address, connections):
     host, _, port = address.rpartition(":")
-    return RefreshingPool(
-        host.strip("[]"), int(port), maxsize=connections, block=True
-    )
+    return RefreshingPool(host.strip("[]"), int(port), maxsize=connections, block=True)
 
 
 def _timeout(seconds):
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,294 @@
+"""A small fleet in separate processes, for the demonstration and for tests."""
+
+import contextlib
+import hashlib
+import json
+import os
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import NamedTuple
+
+import urllib3
+
+__all__ = ["FleetProcesses", "Place"]
+
+READY_WITHIN_S = 30.0
+POLL_S = 0.05
+STOP_WITHIN_S = 60.0
+HOST = "127.0.0.1"
+
+
+class Place(NamedTuple):
+    """Where one instance of the fleet runs.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    seat : int
+        Its seat.
+    failure_domain : str
+        Its failure domain.
+    callers, peers, admin : str
+        Addresses.
+    """
+
+    name: str
+    seat: int
+    failure_domain: str
+    callers: str
+    peers: str
+    admin: str
+
+
+class FleetProcesses:
+    """Stand-ins and instances as processes that end with the context.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Empty directory for settings, values and logs.
+    """
+
+    def __init__(self, directory):
+        self._directory = pathlib.Path(directory)
+        self._values = self._directory / "values"
+        (self._values / "notes").mkdir(parents=True)
+        self._secret = self._directory / "secret"
+        self._secret.write_text(secrets.token_hex(32))
+        self._processes = {}
+        self._places = {}
+        self._upstreams = {}
+        self._platform = free_address()
+        self._revision = 0
+        self._digest = ""
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *failure):
+        for process in self._processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait()
+
+    @property
+    def places(self):
+        """Places of the instances, by name."""
+        return self._places
+
+    @property
+    def upstreams(self):
+        """Addresses of the upstreams, by name."""
+        return self._upstreams
+
+    def process(self, name):
+        """Return the process of an instance or a stand-in."""
+        return self._processes[name]
+
+    def log(self, name):
+        """Return what a process has logged."""
+        return (self._directory / f"{name}.log").read_text()
+
+    def start_platform(self):
+        """Start the stand-in for the configuration service."""
+        self._start(
+            "platform",
+            "standins.platform",
+            "--listen",
+            self._platform,
+            "--directory",
+            self._values,
+        )
+        wait_for(self._platform)
+
+    def set_platform_mode(self, mode):
+        """Make the configuration service fail, or ``well`` again."""
+        (self._values / ".mode").write_text(mode)
+
+    def platform_calls(self):
+        """Return how many calls the configuration service got."""
+        return int(fetch(self._platform, "/calls"))
+
+    def start_upstream(self, name, slots=4, service_s=0.0):
+        """Start an upstream and return its address."""
+        address = free_address()
+        self._upstreams[name] = address
+        self._start(
+            name,
+            "standins.upstream",
+            "--listen",
+            address,
+            "--name",
+            name,
+            "--slots",
+            slots,
+            "--service-s",
+            service_s,
+            "--faults",
+            self._directory / f"{name}.faults",
+        )
+        wait_for(address)
+        return address
+
+    def set_faults(self, name, faults):
+        """Give an upstream faults, one a line."""
+        path = self._directory / f"{name}.faults"
+        temporary = path.with_suffix(".new")
+        temporary.write_text(faults)
+        temporary.replace(path)
+
+    def ran(self, name):
+        """Return the identifiers of the requests that an upstream ran."""
+        return json.loads(fetch(self._upstreams[name], "/ran"))["ran"]
+
+    def keys_seen(self, name):
+        """Return how many requests reached an upstream with a key."""
+        return json.loads(fetch(self._upstreams[name], "/ran"))["keys_seen"]
+
+    def place(self, name, seat, failure_domain):
+        """Give an instance its addresses and put it on the published list."""
+        addresses = (free_address() for _ in range(3))
+        self._places[name] = Place(name, seat, failure_domain, *addresses)
+        self.publish_list()
+        return self._places[name]
+
+    def remove(self, name):
+        """Take an instance off the published list."""
+        del self._places[name]
+        self.publish_list()
+
+    def publish_list(self, leaving=()):
+        """Publish the list of instances."""
+        text = "".join(_list_entry(item, leaving) for item in self._places.values())
+        self._write("instances", text)
+
+    def publish_note(self, text):
+        """Publish the next release note, given without its ``[note]`` section."""
+        self._revision += 1
+        head = f"[note]\nrevision = {self._revision}\nfollows = {self._digest}\n\n"
+        note = head + text
+        self._digest = note_digest(note)
+        self._write(f"notes/{self._revision}", note)
+        self._write("notes/head", f"{self._revision} {self._digest}")
+        return self._revision
+
+    def start_instance(self, name, **callers):
+        """Start an instance."""
+        place = self._places[name]
+        path = self._directory / f"{name}.ini"
+        path.write_text(self._settings(place, callers))
+        self._start(name, "chervilpitch", "serve", path)
+        wait_for(place.callers)
+
+    def wait_for_revision(self, revision, names=None):
+        """Wait until instances serve with a revision in force."""
+        for name in names or self._places:
+            wait_until(lambda: self.status(name)["revision"] >= revision, name)
+
+    def status(self, name):
+        """Return the status of an instance."""
+        return json.loads(fetch(self._places[name].admin, "/status"))
+
+    def stop_instance(self, name, number=signal.SIGTERM):
+        """Send a signal to an instance and return its exit code."""
+        process = self._processes[name]
+        process.send_signal(number)
+        return process.wait(STOP_WITHIN_S)
+
+    def _start(self, name, module, *arguments):
+        command = [sys.executable, "-m", module, *map(str, arguments)]
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+        with open(self._directory / f"{name}.log", "a") as log:
+            self._processes[name] = subprocess.Popen(
+                command, stdout=log, stderr=log, env=environment
+            )
+
+    def _write(self, name, text):
+        path = self._values / name
+        temporary = self._directory / "value.new"
+        temporary.write_text(text)
+        temporary.replace(path)
+
+    def _settings(self, place, callers):
+        lines = [
+            "[instance]",
+            f"name = {place.name}",
+            f"seat = {place.seat}",
+            f"failure-domain = {place.failure_domain}",
+            f"callers = {place.callers}",
+            f"peers = {place.peers}",
+            f"admin = {place.admin}",
+            "[fleet]",
+            f"secret-file = {self._secret}",
+            "[platform]",
+            f"endpoint = {self._platform}",
+            "watch-s = 2",
+            "[callers]",
+            *(f"{name.replace('_', '-')} = {value}" for name, value in callers.items()),
+        ]
+        return "\n".join(lines) + "\n"
+
+
+def free_address():
+    """Return an address on the loopback that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return f"{HOST}:{probe.getsockname()[1]}"
+
+
+def fetch(address, path):
+    """Return the body of a page."""
+    return urllib3.request("GET", f"http://{address}{path}", timeout=5.0).data
+
+
+def wait_for(address):
+    """Wait until something listens on an address."""
+    host, _, port = address.rpartition(":")
+
+    def is_listening():
+        with socket.socket() as probe:
+            return probe.connect_ex((host, int(port))) == 0
+
+    wait_until(is_listening, address)
+
+
+def wait_until(condition, subject, within_s=READY_WITHIN_S):
+    """Wait until a condition holds; raises ``TimeoutError`` when it does not."""
+    give_up_at_s = time.monotonic() + within_s
+    while time.monotonic() < give_up_at_s:
+        try:
+            if condition():
+                return
+        except (OSError, urllib3.exceptions.HTTPError, ValueError):
+            pass
+        time.sleep(POLL_S)
+    raise TimeoutError(subject)
+
+
+def digest_of(key):
+    """Return the digest of a key for a release note."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def note_digest(text):
+    """Return the digest of a release note as the fleet computes it."""
+    from chervilpitch import notes
+
+    return notes.digest(notes.parse(text, "note").unwrap())
+
+
+def _list_entry(place, leaving):
+    state = "leaving" if place.name in leaving else "live"
+    return (
+        f"[instance {place.name}]\nseat = {place.seat}\n"
+        f"failure-domain = {place.failure_domain}\ncallers = {place.callers}\n"
+        f"peers = {place.peers}\nstate = {state}\n"
+    )
--- /dev/null
+++ b/tests/whole/test_request_path.py
@@ -0,0 +1,95 @@
+"""A request from end to end through separate processes."""
+
+import json
+
+import pytest
+
+from standins import notes
+from standins.caller import CallerStandIn
+from standins.demo import KEY, start_small_fleet, wait_until_served
+from standins.fleet import FleetProcesses
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with FleetProcesses(tmp_path_factory.mktemp("fleet")) as processes:
+        start_small_fleet(processes)
+        for place in processes.places.values():
+            wait_until_served(processes, place.callers)
+        yield processes
+
+
+@pytest.fixture
+def caller():
+    return CallerStandIn(KEY)
+
+
+def booking(caller, fleet, body=b"Sukkur"):
+    entry = fleet.places["instance-0"].callers
+    answer = caller.addresses(entry, "/booking")
+    return (
+        caller.send(
+            answer["ticket_address"], "/booking/1", "POST", body, answer["ticket"]
+        ),
+        answer,
+    )
+
+
+def test_address_answer_names_every_instance(fleet, caller):
+    answer = caller.addresses(fleet.places["instance-1"].callers)
+    named = {place.callers for place in fleet.places.values()}
+    assert set(answer["addresses"]) == named
+    assert answer["ticket"] is None
+
+
+def test_every_instance_serves(fleet, caller):
+    for place in fleet.places.values():
+        reply = caller.send(place.callers, "/catalogue/1")
+        assert reply.status == 200
+        assert json.loads(reply.body)["path"] == "/catalogue/1"
+
+
+def test_no_upstream_sees_a_key(fleet, caller):
+    caller.send(fleet.places["instance-0"].callers, "/catalogue/1")
+    assert not any(fleet.keys_seen(name) for name in fleet.upstreams)
+
+
+def test_repeated_booking_gets_the_recorded_answer(fleet, caller):
+    first, answer = booking(caller, fleet)
+    again = caller.send(
+        answer["ticket_address"], "/booking/1", "POST", b"Sukkur", answer["ticket"]
+    )
+    assert first.status == again.status == 200
+    assert first.body == again.body
+    request = json.loads(first.body)["request"]
+    assert sum(fleet.ran(name).count(request) for name in fleet.upstreams) == 1
+
+
+def test_booking_without_ticket_is_refused_with_a_ticket(fleet, caller):
+    entry = fleet.places["instance-0"].callers
+    reply = caller.send(entry, "/booking/1", "POST", b"")
+    assert (reply.status, reply.run) == (428, "not-run")
+    ticket = reply.headers["Chervilpitch-Ticket"]
+    assert caller.send(entry, "/booking/1", "POST", b"", ticket).status == 200
+
+
+def test_unknown_key_is_refused(fleet):
+    entry = fleet.places["instance-0"].callers
+    reply = CallerStandIn("no such key").send(entry, "/catalogue/1")
+    assert (reply.status, reply.refusal) == (401, "key-unknown")
+
+
+def test_withdrawn_key_is_refused_on_an_open_connection(fleet):
+    fleet.wait_for_revision(fleet.publish_note(notes.key("second", "fitters")))
+    caller = CallerStandIn("second")
+    entry = fleet.places["instance-0"].callers
+    assert caller.send(entry, "/catalogue/1").status == 200
+    fleet.wait_for_revision(fleet.publish_note(notes.withdrawn_key("second")))
+    assert caller.send(entry, "/catalogue/1").refusal == "key-unknown"
+
+
+def test_nothing_logged_shows_a_key(fleet, caller):
+    caller.send(fleet.places["instance-0"].callers, "/catalogue/1")
+    for name in fleet.places:
+        assert KEY not in fleet.log(name)
+        assert KEY not in json.dumps(fleet.status(name))
