Let a request wait shortly for lent tokens

Cause: an instance that holds no tokens of an account refused its first request, though the account was far below its rate (tests/whole test_every_instance_serves: 429). Change: a request waits up to 0.5 s in steps of the asking interval, at most 4 of an account at once; the control ticks at the asking interval.

--- a/src/chervilpitch/pipeline/filters.py
+++ b/src/chervilpitch/pipeline/filters.py
@@ -70,7 +70,7 @@
     """
     if exchange.recorded is not None:
         return Ok(exchange)
-    admitted = decisions.admit(exchange.account.name)
+    admitted = decisions.admit(exchange.account.name, exchange.deadline_at_s)
     if admitted.is_err():
         close_record(decisions, exchange, admitted.unwrap_err())
     return admitted.map(lambda _: exchange)
--- a/src/chervilpitch/runtime/decisions.py
+++ b/src/chervilpitch/runtime/decisions.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import secrets
+import time
 from typing import TypedDict
 
 from result import Err, Ok, Result
@@ -14,6 +15,9 @@
 
 __all__ = ["AddressAnswer", "Decisions", "Held"]
 
+MAX_TOKEN_WAIT_S = 0.5
+WAITING_PER_ACCOUNT = 4
+
 
 class AddressAnswer(TypedDict):
     """Which addresses a caller should use.
@@ -88,6 +92,7 @@
         self._lock = cores.lock
         self._clock = cores.clock
         self._in_progress = accounts.InProgress(requests_per_account)
+        self._waiting = accounts.InProgress(WAITING_PER_ACCOUNT)
         self._retry_budgets: dict[str, requests.RetryBudget] = {}
 
     @property
@@ -145,10 +150,37 @@
             )
         self._cores.carry_out(effects)
 
-    def admit(self, account: str) -> Result[None, Refusal]:
-        """Charge a request to the rate of its client account."""
+    def admit(self, account: str, deadline_at_s: float) -> Result[None, Refusal]:
+        """Charge a request to the rate of its client account.
+
+        A request for which tokens may arrive soon waits for them.
+        """
         with self._lock:
-            return limits.admit(self._cores.limits, account, self._clock())
+            now_s = self._clock()
+            admitted = limits.admit(self._cores.limits, account, now_s)
+            if admitted.is_ok():
+                return admitted
+            give_up_at_s = min(deadline_at_s, now_s + MAX_TOKEN_WAIT_S)
+            if not _may_succeed_by(give_up_at_s, admitted):
+                return admitted
+            waiting = self._waiting.enter(account)
+        if waiting.is_err():
+            return admitted
+        try:
+            return self._wait_for_tokens(account, admitted, give_up_at_s)
+        finally:
+            with self._lock:
+                self._waiting.leave(account)
+
+    def _wait_for_tokens(self, account, admitted, give_up_at_s):
+        while _may_succeed_by(give_up_at_s, admitted):
+            retry_at_s = admitted.unwrap_err().retry_at_s
+            time.sleep(max(0.0, retry_at_s - self._clock()))
+            with self._lock:
+                admitted = limits.admit(
+                    self._cores.limits, account, self._clock(), is_retry=True
+                )
+        return admitted
 
     def reserve(self, exchange: Exchange, failed) -> Result[Held, Refusal]:
         """Take a slot of an upstream; the key is checked once more before."""
@@ -251,6 +283,13 @@
         return Ok(answer)
 
 
+def _may_succeed_by(give_up_at_s, admitted) -> bool:
+    if admitted.is_ok():
+        return False
+    retry_at_s = admitted.unwrap_err().retry_at_s
+    return retry_at_s is not None and retry_at_s < give_up_at_s
+
+
 def _digest_of(exchange):
     request = exchange.request
     body_digest = hashlib.sha256(request.body.buffered).digest()
--- a/src/chervilpitch/runtime/loop.py
+++ b/src/chervilpitch/runtime/loop.py
@@ -3,6 +3,7 @@
 import asyncio
 import threading
 
+from chervilpitch.limits import ASK_INTERVAL_S
 from chervilpitch.model import Effect, Record, Send
 from chervilpitch.transport.clock import wall_ns
 from chervilpitch.transport.codec import Envelope
@@ -13,8 +14,6 @@
 
 __all__ = ["ControlLoop"]
 
-TICK_S = 0.1
-
 
 class ControlLoop:
     """Runs the control of one instance in a thread of its own.
@@ -81,8 +80,8 @@
         while not self._stopping:
             self._control.tick()
             self._forget_connections()
-            await asyncio.sleep(TICK_S)
-        await asyncio.sleep(TICK_S)
+            await asyncio.sleep(ASK_INTERVAL_S)
+        await asyncio.sleep(ASK_INTERVAL_S)
         await self._channel.close()
 
     def _forget_connections(self):
