--- a/src/chervilpitch/requests/at_most_once.py
+++ b/src/chervilpitch/requests/at_most_once.py
@@ -30,7 +30,7 @@
 RETRY_AFTER_S = 1.0
 
 _REQUIRED = Refusal(RefusalKind.TICKET_REQUIRED, RunState.NOT_RUN)
-_INVALID = Refusal(RefusalKind.TICKET_INVALID, RunState.NOT_RUN)
+_INVALID = Refusal(RefusalKind.TICKET_INVALID, RunState.UNKNOWN)
 _EXPIRED = Refusal(RefusalKind.TICKET_EXPIRED, RunState.NOT_RUN)
 _FORGOTTEN = Refusal(RefusalKind.TICKET_EXPIRED, RunState.UNKNOWN)
 
@@ -100,7 +100,8 @@
     Notes
     -----
     ``not-run`` speaks of the ticket, not of the message: nothing has run under
-    it for this request and nothing will.
+    it and nothing will. A ticket of another account or route, or one used by a
+    different request, is refused as ``unknown``.
     """
     if ticket is None:
         return Err(_REQUIRED)
@@ -142,6 +143,8 @@
         What the caller gets: the refusal when nothing has run and nothing will,
         otherwise what a repeat of the request gets.
     """
+    if ticket is None:
+        return refusal
     result = begin(state, ticket, account, route, request_digest, now_s)
     match result:
         case Ok(FirstRun(record_id)):
--- a/src/chervilpitch/requests/directory.py
+++ b/src/chervilpitch/requests/directory.py
@@ -107,7 +107,7 @@
         if held is None or held.origin != Sender(ticket.instance, ticket.incarnation):
             return Err(self._refusal(ticket))
         if held.record.request_digest not in ("", request_digest):
-            return Err(Refusal(RefusalKind.TICKET_INVALID, RunState.NOT_RUN))
+            return Err(Refusal(RefusalKind.TICKET_INVALID, RunState.UNKNOWN))
         return Ok(held.outcome)
 
     def forget_due(self, now_s: float) -> None:
--- a/src/chervilpitch/requests/hand_over.py
+++ b/src/chervilpitch/requests/hand_over.py
@@ -1,17 +1,19 @@
 """Final outcomes handed over by an instance that stops gracefully."""
 
 from functools import singledispatch
-from typing import Literal
+from typing import Literal, NamedTuple
 
-from pydantic import ConfigDict, TypeAdapter
+from pydantic import ConfigDict, TypeAdapter, ValidationError
+from result import Err, Ok, Result
 
-from chervilpitch.model import Effect, RefusalKind, Send, Sender
+from chervilpitch.model import Effect, Event, Record, RefusalKind, Send, Sender
 
 from .messages import FinalOutcomes, FinalRecord
 from .outcomes import Answered, NotRun, Outcome, Unknown
 from .records import Phase, Records, TicketRecord
 
 __all__ = [
+    "OutcomeMalformed",
     "decode_outcome",
     "encode_outcome",
     "has_open_tickets",
@@ -33,6 +35,18 @@
 )
 
 
+class OutcomeMalformed(NamedTuple):
+    """Bytes that are no outcome.
+
+    Parameters
+    ----------
+    length : int
+        Number of bytes.
+    """
+
+    length: int
+
+
 def encode_outcome(outcome: Outcome) -> bytes:
     """Return an outcome as bytes.
 
@@ -49,13 +63,13 @@
     Examples
     --------
     >>> outcome = Answered(201, (("etag", "7"),), bytes([0, 255]))
-    >>> decode_outcome(encode_outcome(outcome)) == outcome
+    >>> decode_outcome(encode_outcome(outcome)).unwrap() == outcome
     True
     """
     return _CODEC.dump_json((_TAGS[type(outcome)], outcome))
 
 
-def decode_outcome(encoded: bytes) -> Outcome:
+def decode_outcome(encoded: bytes) -> Result[Outcome, OutcomeMalformed]:
     """Return the outcome of its bytes.
 
     Parameters
@@ -65,15 +79,13 @@
 
     Returns
     -------
-    Outcome
+    Result[Outcome, OutcomeMalformed]
         The outcome.
-
-    Raises
-    ------
-    pydantic.ValidationError
-        If the bytes are no outcome.
     """
-    return _CODEC.validate_json(encoded)[1]
+    try:
+        return Ok(_CODEC.validate_json(encoded)[1])
+    except ValidationError:
+        return Err(OutcomeMalformed(len(encoded)))
 
 
 def has_open_tickets(state: Records, now_s: float) -> bool:
@@ -168,7 +180,7 @@
     Returns
     -------
     tuple of Effect
-        Always empty.
+        An event for each outcome that could not be read.
 
     Raises
     ------
@@ -181,10 +193,17 @@
 @receive.register
 def _(message: FinalOutcomes, state: Records, sender: Sender, now_s: float):
     state.directory.heard(sender)
+    malformed = []
     for record in message.records:
-        outcome = decode_outcome(record.outcome)
-        state.directory.hold(sender, record, outcome, now_s)
-    return ()
+        match decode_outcome(record.outcome):
+            case Ok(outcome):
+                state.directory.hold(sender, record, outcome, now_s)
+            case Err():
+                malformed.append(record.ticket_id)
+    return tuple(
+        Record(Event("requests", "outcome-malformed", ticket_id, sender.name))
+        for ticket_id in malformed
+    )
 
 
 def _is_open(record: TicketRecord, now_s: float) -> bool:
--- a/src/chervilpitch/requests/tickets.py
+++ b/src/chervilpitch/requests/tickets.py
@@ -19,7 +19,7 @@
 
 _MAC_BYTES = hashlib.sha256().digest_size
 _DOMAIN = b"chervilpitch ticket 1\0"
-_INVALID = Refusal(RefusalKind.TICKET_INVALID, RunState.NOT_RUN)
+_INVALID = Refusal(RefusalKind.TICKET_INVALID, RunState.UNKNOWN)
 
 
 class Ticket(NamedTuple):
@@ -98,8 +98,9 @@
     Notes
     -----
     The payload is decoded only after its code has been compared in constant
-    time. Only the text as issued is accepted, no other spelling of it. The
-    deadline is not judged here: only the issuing incarnation has its clock.
+    time. The deadline is not judged here: only the issuing incarnation has its
+    clock. A refusal says ``unknown``, since a text that was damaged, or signed
+    with a secret since replaced, may belong to a request that ran.
     """
     if len(text) > MAX_TEXT_BYTES:
         return Err(_INVALID)
