--- a/src/chervilpitch/notes/__init__.py
+++ b/src/chervilpitch/notes/__init__.py
@@ -12,8 +12,18 @@
     Seat,
     Withdrawn,
 )
+from .comparing import as_text, difference
 from .parsing import MAX_NOTE_BYTES, parse
 from .problems import NoteProblem, ProblemKind
+from .snapshot import (
+    Snapshot,
+    SnapshotHead,
+    SnapshotKind,
+    SnapshotProblem,
+    read_snapshot,
+    read_snapshot_head,
+    take_snapshot,
+)
 
 __all__ = [
     "Added",
@@ -26,9 +36,18 @@
     "ProblemKind",
     "ReleaseNote",
     "Seat",
+    "Snapshot",
+    "SnapshotHead",
+    "SnapshotKind",
+    "SnapshotProblem",
     "Withdrawn",
     "apply",
+    "as_text",
     "canonical",
+    "difference",
     "digest",
     "parse",
+    "read_snapshot",
+    "read_snapshot_head",
+    "take_snapshot",
 ]
--- a/src/chervilpitch/notes/applying.py
+++ b/src/chervilpitch/notes/applying.py
@@ -71,7 +71,7 @@
     problems = [p for change in note.changes if (p := _put(change, tables, note.file))]
     if not problems:
         _withdraw_keys(tables, note.changes)
-        problems = check_references(tables, catalogue, note)
+        problems = check_references(tables, note)
     if problems:
         return Err(tuple(problems))
     return Ok(
--- a/src/chervilpitch/notes/options.py
+++ b/src/chervilpitch/notes/options.py
@@ -36,6 +36,7 @@
 MAX_PER_S = 1e9
 MAX_TIMEOUT_S = 3_600.0
 MAX_SLOTS = 100_000
+MAX_ACCOUNT_NAMES = 1_000
 MAX_CONNECTIONS = 1_000_000
 PREFIX = r"^/$|^(/[A-Za-z0-9._~!$&'()*+,:;=@%-]+)+$"
 FAILURE_DOMAIN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,49}/[A-Za-z0-9][A-Za-z0-9._-]{0,49}$"
@@ -60,7 +61,9 @@
     if value == EVERY_ACCOUNT:
         return ()
     names = tuple(name.strip() for name in value.split(","))
-    if len(set(names)) < len(names) or not all(map(NAME.fullmatch, names)):
+    if len(names) > MAX_ACCOUNT_NAMES or len(set(names)) < len(names):
+        raise ValueError("too many names or repeated names")
+    if not all(map(NAME.fullmatch, names)):
         raise ValueError("not a list of names")
     return names
 
@@ -165,7 +168,7 @@
     accounts: Annotated[
         tuple[str, ...],
         BeforeValidator(_account_names),
-        Field(description="names joined by commas, or * for every account"),
+        Field(description="up to 1000 names joined by commas, or * for every account"),
     ] = ()
 
 
--- a/src/chervilpitch/notes/parsing.py
+++ b/src/chervilpitch/notes/parsing.py
@@ -96,9 +96,8 @@
         data = text if isinstance(text, bytes) else text.encode()
         decoded = data.decode()
     except UnicodeError as error:
-        line = error.object[: error.start].count(
-            b"\n" if text is error.object else "\n"
-        )
+        before = error.object[: error.start]
+        line = before.count(b"\n" if isinstance(before, bytes) else "\n")
         return refuse(ProblemKind.BAD_ENCODING, line + 1, error.reason, "UTF-8")
     if len(data) > MAX_NOTE_BYTES:
         limit = f"at most {MAX_NOTE_BYTES} bytes"
--- a/src/chervilpitch/notes/references.py
+++ b/src/chervilpitch/notes/references.py
@@ -1,27 +1,34 @@
 """Checks of references between the items of a catalogue."""
 
 from collections import Counter
-from typing import Any
+from collections.abc import Mapping
+from functools import singledispatch
+from typing import Any, NamedTuple
 
-from chervilpitch.model import Catalogue
-
-from .changes import ItemKind, ReleaseNote
+from .changes import Added, Change, Changed, ItemKind, ReleaseNote, Withdrawn
 from .problems import NoteProblem, ProblemKind
 
 __all__ = ["check_references"]
 
 
-def check_references(
-    tables: Any, catalogue: Catalogue, note: ReleaseNote
-) -> list[NoteProblem]:
+class _Broken(NamedTuple):
+    """A broken reference of one item."""
+
+    problem: ProblemKind
+    kind: ItemKind
+    name: str
+    option: str
+    seen: str
+    allowed: str
+
+
+def check_references(tables: Any, note: ReleaseNote) -> list[NoteProblem]:
     """Check the references that a note may have broken.
 
     Parameters
     ----------
     tables : Tables
-        The tables after the note.
-    catalogue : Catalogue
-        The catalogue before it, whose references hold.
+        The tables after the note; before it every reference held.
     note : ReleaseNote
         The note.
 
@@ -31,76 +38,135 @@
         One problem for each broken reference.
     """
     lines = {(change.kind, change.name): change.line for change in note.changes}
-    problems = []
-
-    def refuse(
-        kind: ProblemKind,
-        item: ItemKind,
-        name: str,
-        option: str,
-        seen: str,
-        allowed: str,
-    ) -> None:
-        line = lines.get((item, name), 0)
-        section = f"{item} {name}"
-        problems.append(
-            NoteProblem(kind, note.file, line, section, option, seen, allowed)
+    broken = [
+        *_keys_without_account(tables, note),
+        *_routes_without_account(tables, note),
+        *_routes_without_upstreams(tables, note),
+        *_repeated_prefixes(tables, note),
+        *_repeated_addresses(tables, note),
+    ]
+    return [
+        NoteProblem(
+            found.problem,
+            note.file,
+            lines.get((found.kind, found.name), 0),
+            f"{found.kind} {found.name}",
+            found.option,
+            found.seen,
+            found.allowed,
         )
+        for found in broken
+    ]
 
-    accounts = tables.account
-    for name, key in _changed(tables.key, catalogue.keys):
-        if key.account not in accounts:
-            problem = ProblemKind.UNKNOWN_ACCOUNT
-            allowed = "a declared account"
-            refuse(problem, ItemKind.KEY, name, "account", key.account, allowed)
-    if tables.route is not catalogue.routes or accounts is not catalogue.accounts:
-        for name, account in _unknown_accounts(tables.route, accounts):
-            problem = ProblemKind.UNKNOWN_ACCOUNT
-            allowed = "declared accounts"
-            refuse(problem, ItemKind.ROUTE, name, "accounts", account, allowed)
-    if tables.route is not catalogue.routes:
-        for name, prefix in _repeated(tables.route, "prefix"):
-            problem = ProblemKind.REPEATED_PREFIX
-            allowed = "a prefix of no other route"
-            refuse(problem, ItemKind.ROUTE, name, "prefix", prefix, allowed)
-    if tables.upstream is not catalogue.upstreams:
-        for name, address in _repeated(tables.upstream, "address"):
-            problem = ProblemKind.REPEATED_ADDRESS
-            allowed = "an address of no other upstream"
-            refuse(problem, ItemKind.UPSTREAM, name, "address", address, allowed)
-    if _is_either_touched(tables, catalogue):
-        services = {upstream.service for upstream in tables.upstream.values()}
-        for name, route in tables.route.items():
-            if route.service not in services:
-                problem = ProblemKind.SERVICE_WITHOUT_UPSTREAMS
-                allowed = "a service with upstreams"
-                refuse(problem, ItemKind.ROUTE, name, "service", route.service, allowed)
-    return problems
-
-
-def _is_either_touched(tables: Any, catalogue: Catalogue) -> bool:
-    """Whether the note touches routes or upstreams."""
-    is_routes_same = tables.route is catalogue.routes
-    return not (is_routes_same and tables.upstream is catalogue.upstreams)
-
-
-def _changed(table: dict, before: Any) -> list[tuple[str, Any]]:
-    """Return the entries that are new or differ."""
-    if table is before:
-        return []
-    return [(name, item) for name, item in table.items() if before.get(name) != item]
+
+@singledispatch
+def _sets(change: Change, field: str) -> bool:
+    """Whether a change gives a field a new value, or takes its value away."""
+    raise TypeError(type(change))
+
+
+@_sets.register
+def _(change: Added, field: str) -> bool:
+    return True
 
 
-def _unknown_accounts(routes: dict, accounts: dict) -> list[tuple[str, str]]:
+@_sets.register
+def _(change: Changed, field: str) -> bool:
+    return any(changed.field == field for changed in change.fields)
+
+
+@_sets.register
+def _(change: Withdrawn, field: str) -> bool:
+    return True
+
+
+def _touches(note: ReleaseNote, kind: ItemKind, field: str) -> bool:
+    return any(c.kind is kind and _sets(c, field) for c in note.changes)
+
+
+def _keys_without_account(tables: Any, note: ReleaseNote) -> list[_Broken]:
+    names = [change.name for change in note.changes if change.kind is ItemKind.KEY]
+    keys = [tables.key[name] for name in names if name in tables.key]
     return [
-        (name, account)
-        for name, route in routes.items()
+        _Broken(
+            ProblemKind.UNKNOWN_ACCOUNT,
+            ItemKind.KEY,
+            key.digest,
+            "account",
+            key.account,
+            "a declared account",
+        )
+        for key in keys
+        if key.account not in tables.account
+    ]
+
+
+def _routes_without_account(tables: Any, note: ReleaseNote) -> list[_Broken]:
+    if not (
+        _touches(note, ItemKind.ROUTE, "accounts")
+        or _touches(note, ItemKind.ACCOUNT, "name")
+    ):
+        return []
+    return [
+        _Broken(
+            ProblemKind.UNKNOWN_ACCOUNT,
+            ItemKind.ROUTE,
+            name,
+            "accounts",
+            account,
+            "declared accounts",
+        )
+        for name, route in tables.route.items()
         for account in route.accounts
-        if account not in accounts
+        if account not in tables.account
+    ]
+
+
+def _routes_without_upstreams(tables: Any, note: ReleaseNote) -> list[_Broken]:
+    if not (
+        _touches(note, ItemKind.ROUTE, "service")
+        or _touches(note, ItemKind.UPSTREAM, "service")
+    ):
+        return []
+    services = {upstream.service for upstream in tables.upstream.values()}
+    return [
+        _Broken(
+            ProblemKind.SERVICE_WITHOUT_UPSTREAMS,
+            ItemKind.ROUTE,
+            name,
+            "service",
+            route.service,
+            "a service with upstreams",
+        )
+        for name, route in tables.route.items()
+        if route.service not in services
+    ]
+
+
+def _repeated_prefixes(tables: Any, note: ReleaseNote) -> list[_Broken]:
+    if not _touches(note, ItemKind.ROUTE, "prefix"):
+        return []
+    allowed = "a prefix of no other route"
+    return [
+        _Broken(
+            ProblemKind.REPEATED_PREFIX, ItemKind.ROUTE, name, "prefix", value, allowed
+        )
+        for name, value in _repeated(tables.route, "prefix")
+    ]
+
+
+def _repeated_addresses(tables: Any, note: ReleaseNote) -> list[_Broken]:
+    if not _touches(note, ItemKind.UPSTREAM, "address"):
+        return []
+    allowed = "an address of no other upstream"
+    kind = ProblemKind.REPEATED_ADDRESS
+    return [
+        _Broken(kind, ItemKind.UPSTREAM, name, "address", value, allowed)
+        for name, value in _repeated(tables.upstream, "address")
     ]
 
 
-def _repeated(table: dict, field: str) -> list[tuple[str, str]]:
+def _repeated(table: Mapping, field: str) -> list[tuple[str, str]]:
     """Return the items that share the value of a field with another one."""
     counts = Counter(getattr(item, field) for item in table.values())
     if len(counts) == len(table):
--- a/src/chervilpitch/notes/sections.py
+++ b/src/chervilpitch/notes/sections.py
@@ -9,6 +9,7 @@
 __all__ = ["Section", "hidden_key", "shortened", "split_sections"]
 
 MAX_PROBLEMS = 100
+MAX_SECTIONS = 20_000
 MAX_SEEN_CHARACTERS = 80
 HEADER = re.compile(r"\[([^\[\]]+)\]\s*")
 KEY_DIGEST = re.compile(r"[0-9a-f]{64}")
@@ -36,6 +37,16 @@
     lines: dict[str, int]
 
 
+class _Draft:
+    """A section while its lines are read."""
+
+    def __init__(self, name: str, line: int) -> None:
+        self.name = name
+        self.line = line
+        self.kept: list[str] = []
+        self.numbers: dict[str, int] = {}
+
+
 def shortened(text: str) -> str:
     """Return the text, shortened for a message.
 
@@ -96,76 +107,89 @@
     tuple of NoteProblem
         Every line that could not.
     """
-    sections: list[Section] = []
     problems: list[NoteProblem] = []
-    header, start, body = "", 0, []
-    for number, line in enumerate([*text.split("\n"), "[end]"], 1):
-        if not line.startswith("["):
-            body.append(line)
-            continue
-        if start or any(map(_has_content, body)):
-            section = _read_section(header, start, body, file, problems)
-            sections.append(section)
-        match = HEADER.fullmatch(line)
-        if match is None:
-            seen = hidden_key(line.strip("[] "))
-            problems.append(
-                NoteProblem(
-                    ProblemKind.BAD_SECTION, file, number, "", "", seen, "[section]"
-                )
-            )
-        header, start, body = match[1] if match else "", number, []
-    return tuple(sections), tuple(problems)
-
-
-def _has_content(line: str) -> bool:
-    return bool(line.strip()) and not line.startswith(("#", ";"))
-
-
-def _read_section(
-    header: str, start: int, body: list[str], file: str, problems: list[NoteProblem]
-) -> Section:
-    """Read the options of one section, one attempt after each bad line."""
-    shown = hidden_key(header)
-
-    def refuse(kind: ProblemKind, index: int, option: str, allowed: str) -> None:
-        seen = HIDDEN if HIDDEN in shown else shortened(body[index].strip())
-        line = start + index + 1
-        problems.append(NoteProblem(kind, file, line, shown, option, seen, allowed))
-        body[index] = ""
-
-    for index, line in enumerate(body):
-        if line[:1].isspace() and line.strip():
-            refuse(ProblemKind.BAD_LINE, index, "", "a line without indentation")
-    while len(problems) <= MAX_PROBLEMS:
-        parser = _parser()
-        try:
-            parser.read_string("[section]\n" + "\n".join(body))
-        except configparser.DuplicateOptionError as error:
-            index = error.lineno - 2
-            option = shortened(error.option)
-            refuse(ProblemKind.REPEATED_OPTION, index, option, "each option once")
-        except configparser.ParsingError as error:
-            for number, _ in error.errors:
-                refuse(ProblemKind.BAD_LINE, number - 2, "", "option = value")
-        else:
-            options = dict(parser.items("section"))
-            return Section(header, start, options, _option_lines(body, start))
-    return Section(header, start, {}, {})
-
-
-def _parser() -> configparser.RawConfigParser:
-    return configparser.RawConfigParser(
+    drafts = [_Draft("", 0)]
+    for number, line in enumerate(text.split("\n"), 1):
+        if len(problems) > MAX_PROBLEMS:
+            break
+        if len(drafts) > MAX_SECTIONS:
+            problems.append(_too_many(number, file))
+            break
+        if line.startswith("["):
+            drafts.append(_read_header(line, number, file, problems))
+        elif _has_content(line):
+            _read_line(drafts[-1], line, number, file, problems)
+    return _read_options(drafts), tuple(problems)
+
+
+def _too_many(number: int, file: str) -> NoteProblem:
+    allowed = f"at most {MAX_SECTIONS} sections"
+    return NoteProblem(ProblemKind.TOO_LARGE, file, number, "", "", "", allowed)
+
+
+def _read_header(
+    line: str, number: int, file: str, problems: list[NoteProblem]
+) -> _Draft:
+    """Start a section; a malformed header starts one without a name."""
+    match = HEADER.fullmatch(line)
+    if match is not None:
+        return _Draft(match[1], number)
+    seen = hidden_key(line.strip("[] "))
+    kind = ProblemKind.BAD_SECTION
+    problems.append(NoteProblem(kind, file, number, "", "", seen, "[section]"))
+    return _Draft("", number)
+
+
+def _read_line(
+    draft: _Draft, line: str, number: int, file: str, problems: list[NoteProblem]
+) -> None:
+    """Keep a well-formed line of a section, or name its problem."""
+    option = line.partition("=")[0].strip().lower()
+    kind, allowed = _line_problem(line, option, draft)
+    if kind is None:
+        draft.numbers[option] = number
+        draft.kept.append(line)
+        return
+    shown = hidden_key(draft.name)
+    named = shortened(option) if kind is ProblemKind.REPEATED_OPTION else ""
+    seen = HIDDEN if HIDDEN in shown else shortened(line.strip())
+    problems.append(NoteProblem(kind, file, number, shown, named, seen, allowed))
+
+
+def _line_problem(
+    line: str, option: str, draft: _Draft
+) -> tuple[ProblemKind | None, str]:
+    """Return what is wrong with a line, and what is allowed there."""
+    if not draft.line:
+        return ProblemKind.BAD_LINE, "a section before the first option"
+    if line[:1].isspace():
+        return ProblemKind.BAD_LINE, "a line without indentation"
+    if "=" not in line or not option:
+        return ProblemKind.BAD_LINE, "option = value"
+    if option in draft.numbers:
+        return ProblemKind.REPEATED_OPTION, "each option once"
+    return None, ""
+
+
+def _read_options(drafts: list[_Draft]) -> tuple[Section, ...]:
+    """Read the kept lines of all sections in one run of the library."""
+    lines = []
+    for index, draft in enumerate(drafts):
+        lines.append(f"[{index}]")
+        lines.extend(draft.kept)
+    parser = configparser.RawConfigParser(
         delimiters=("=",),
         comment_prefixes=("#", ";"),
         default_section="",
         empty_lines_in_values=False,
     )
+    parser.read_string("\n".join(lines))
+    return tuple(
+        Section(draft.name, draft.line, dict(parser[str(index)]), draft.numbers)
+        for index, draft in enumerate(drafts)
+        if draft.line
+    )
 
 
-def _option_lines(body: list[str], start: int) -> dict[str, int]:
-    return {
-        line.partition("=")[0].strip().lower(): start + index + 1
-        for index, line in enumerate(body)
-        if _has_content(line)
-    }
+def _has_content(line: str) -> bool:
+    return bool(line.strip()) and not line.startswith(("#", ";"))
