--- a/src/chervilpitch/cli/main.py
+++ b/src/chervilpitch/cli/main.py
@@ -6,11 +6,20 @@
 
 import chervilpitch
 
+from .fleet import AddressCommand, StatusCommand
+from .notes import CheckCommand, DiffCommand
 from .serve import ServeCommand, SettingsCommand
 
 __all__ = ["build_application", "main"]
 
-COMMANDS = (ServeCommand, SettingsCommand)
+COMMANDS = (
+    AddressCommand,
+    CheckCommand,
+    DiffCommand,
+    ServeCommand,
+    SettingsCommand,
+    StatusCommand,
+)
 
 
 def build_application() -> Application:
--- /dev/null
+++ b/src/chervilpitch/cli/notes.py
@@ -0,0 +1,123 @@
+"""The ``check`` and ``diff`` commands."""
+
+import pathlib
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+from result import Err, Ok, Result
+
+from chervilpitch import notes
+from chervilpitch.model import EMPTY_CATALOGUE, Catalogue
+
+from .exits import ExitCode
+from .output import JSON_OPTION, print_json, print_problems
+
+__all__ = ["CheckCommand", "DiffCommand"]
+
+Problems = tuple[notes.NoteProblem, ...]
+
+
+class CheckCommand(Command):
+    """Check release notes before they are published."""
+
+    name = "check"
+    description = "Check release notes before they are published."
+    arguments = [argument("notes", "Notes in order of revision.", multiple=True)]
+    options = [JSON_OPTION]
+    help = """Each note is read whole and every error is named with its line. Notes that
+begin with revision 1 are also applied one after the other.
+
+Example: chervilpitch check notes/1.ini notes/2.ini"""
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        read = read_notes(self.argument("notes"))
+        checked = read.and_then(_apply_from_first)
+        if checked.is_err():
+            print_problems(self, checked.unwrap_err())
+            return ExitCode.BAD_NOTE
+        lines = [
+            {"revision": note.revision, "digest": notes.digest(note)}
+            for note in read.unwrap()
+        ]
+        if self.option("json"):
+            print_json(self, lines)
+        else:
+            for line in lines:
+                self.line(f"revision {line['revision']}: fine, digest {line['digest']}")
+        return ExitCode.FINE
+
+
+class DiffCommand(Command):
+    """Show what the last of some release notes changes."""
+
+    name = "diff"
+    description = "Show what the last of some release notes changes."
+    arguments = [argument("notes", "All notes from revision 1 on.", multiple=True)]
+    options = [JSON_OPTION]
+    help = "Example: chervilpitch diff notes/1.ini notes/2.ini"
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        compared = read_notes(self.argument("notes")).and_then(_compare)
+        if compared.is_err():
+            print_problems(self, compared.unwrap_err())
+            return ExitCode.BAD_NOTE
+        text = notes.as_text(compared.unwrap()).strip()
+        if self.option("json"):
+            print_json(self, text.splitlines())
+        else:
+            self.line(text)
+        return ExitCode.FINE
+
+
+def read_notes(paths: list[str]) -> Result[tuple[notes.ReleaseNote, ...], Problems]:
+    """Read note files.
+
+    Parameters
+    ----------
+    paths : list of str
+        Paths of the files.
+
+    Returns
+    -------
+    Result
+        The notes, or every problem of every file.
+    """
+    read = [_read(path) for path in paths]
+    problems = [item for result in read if result.is_err() for item in result.err()]
+    if problems:
+        return Err(tuple(problems))
+    return Ok(tuple(result.unwrap() for result in read))
+
+
+def _read(path: str) -> Result[notes.ReleaseNote, Problems]:
+    try:
+        content = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        kind = notes.ProblemKind.DOES_NOT_EXIST
+        seen = error.strerror or ""
+        allowed = "a readable file"
+        return Err((notes.NoteProblem(kind, path, 0, "", "", seen, allowed),))
+    return notes.parse(content, path)
+
+
+def _apply_from_first(read) -> Result[Catalogue, Problems]:
+    if read[0].revision != 1:
+        return Ok(EMPTY_CATALOGUE)
+    return _apply_all(read)
+
+
+def _apply_all(read) -> Result[Catalogue, Problems]:
+    catalogue: Result[Catalogue, Problems] = Ok(EMPTY_CATALOGUE)
+    for note in read:
+        catalogue = catalogue.and_then(
+            lambda before, note=note: notes.apply(before, note)
+        )
+    return catalogue
+
+
+def _compare(read):
+    after = _apply_all(read)
+    before = _apply_all(read[:-1])
+    return before.and_then(lambda b: after.map(lambda a: notes.difference(b, a)))
--- /dev/null
+++ b/src/chervilpitch/cli/output.py
@@ -0,0 +1,88 @@
+"""Output of commands, for people and as JSON."""
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+__all__ = ["JSON_OPTION", "print_json", "print_problems", "print_table"]
+
+JSON_OPTION = option("json", None, "Print JSON.", flag=True)
+
+
+def print_json(command: Command, value: Any) -> None:
+    """Print a value as JSON, to standard output.
+
+    Parameters
+    ----------
+    command : cleo.commands.command.Command
+        The command.
+    value : object
+        Plain data.
+    """
+    command.line(json.dumps(value, indent=2, sort_keys=True))
+
+
+def print_problems(command: Command, problems: Iterable[Any]) -> None:
+    """Print every problem on a line of its own, to standard error.
+
+    Parameters
+    ----------
+    command : cleo.commands.command.Command
+        The command that found them.
+    problems : iterable of NamedTuple
+        Typed problems.
+    """
+    for problem in problems:
+        if command.option("json"):
+            command.line_error(json.dumps(problem._asdict(), sort_keys=True))
+        else:
+            command.line_error(describe(problem._asdict()))
+
+
+def describe(fields: Mapping[str, Any]) -> str:
+    """Return the fields of a problem as one line.
+
+    Parameters
+    ----------
+    fields : mapping of str to object
+        Field names and values.
+
+    Returns
+    -------
+    str
+        Where it is, what was seen and what is allowed.
+
+    Examples
+    --------
+    >>> describe({"file": "a.ini", "section": "log", "option": "level",
+    ...           "seen": "loud", "allowed": "debug or info"})
+    "a.ini: [log] level: saw 'loud'; allowed: debug or info"
+    """
+    line = f":{fields['line']}" if fields.get("line") else ""
+    section = f" [{fields['section'].strip('[]')}]" if fields["section"] else ""
+    name = f" {fields['option']}" if fields["option"] else ""
+    kind = f" {fields['kind']}:" if fields.get("kind") else ""
+    where = f"{fields['file']}{line}:{section}{name}:{kind}"
+    return f"{where} saw {fields['seen']!r}; allowed: {fields['allowed']}"
+
+
+def print_table(command: Command, headers: list[str], rows: list[list[Any]]) -> None:
+    """Print rows in aligned columns.
+
+    Parameters
+    ----------
+    command : cleo.commands.command.Command
+        The command.
+    headers : list of str
+        Names of the columns.
+    rows : list of list
+        Values.
+    """
+    shown = [headers, *([str(value) for value in row] for row in rows)]
+    widths = [max(len(row[column]) for row in shown) for column in range(len(headers))]
+    for row in shown:
+        cells = (value.ljust(width) for value, width in zip(row, widths, strict=True))
+        command.line("  ".join(cells).rstrip())
--- a/src/chervilpitch/cli/serve.py
+++ b/src/chervilpitch/cli/serve.py
@@ -7,6 +7,7 @@
 from chervilpitch.runtime.instance import serve
 
 from .exits import ExitCode
+from .output import JSON_OPTION, print_problems
 
 __all__ = ["ServeCommand", "SettingsCommand"]
 
@@ -17,6 +18,7 @@
     name = "settings"
     description = "Check the settings of an instance."
     arguments = [argument("file", "INI file of settings.")]
+    options = [JSON_OPTION]
     help = "Example: chervilpitch settings examples/qureshi.ini"
 
     def handle(self) -> int:
@@ -35,6 +37,7 @@
     name = "serve"
     description = "Run one instance until SIGTERM."
     arguments = [argument("file", "INI file of settings.")]
+    options = [JSON_OPTION]
     help = "Example: chervilpitch serve /etc/chervilpitch/instance.ini"
 
     def handle(self) -> int:
@@ -48,17 +51,3 @@
             print_problems(self, (ended.unwrap_err(),))
             return ExitCode.BAD_SETTINGS
         return ExitCode.FINE
-
-
-def print_problems(command: Command, problems) -> None:
-    """Print every problem on a line of its own, to standard error.
-
-    Parameters
-    ----------
-    command : cleo.commands.command.Command
-        The command that found them.
-    problems : iterable
-        Typed problems.
-    """
-    for problem in problems:
-        command.line_error(str(problem))
