Close a spent loan with nothing unspent

Cause: a loan spent to the end was closed with the tokens it had before the last spending, so its giver got them back and they were spent twice; the schedules of faults overshot even without a fault. Ruled out: tenure; the overshoot came in a schedule without replacements.

--- a/src/chervilpitch/limits/borrowing.py
+++ b/src/chervilpitch/limits/borrowing.py
@@ -82,7 +82,7 @@
     def tokens(self, now_s: float) -> float:
         """Return the borrowed tokens that may be spent now."""
         self._expire(now_s)
-        return sum(loan.tokens for loan in self._loans)
+        return sum((loan.tokens for loan in self._loans), 0.0)
 
     def spend(self, tokens: float) -> float:
         """Spend from the loans that end soonest; return what they lacked."""
@@ -90,10 +90,8 @@
             loan = self._loans[0]
             used = min(tokens, loan.tokens)
             tokens -= used
-            rest = loan.tokens - used
-            if rest > SMALLEST_TOKENS:
-                self._loans[0] = loan._replace(tokens=rest)
-            else:
+            self._loans[0] = loan._replace(tokens=loan.tokens - used)
+            if self._loans[0].tokens <= SMALLEST_TOKENS:
                 self._close(self._loans.pop(0))
         return tokens
 
