Judge latency against upstreams, not samples, and ask sound peers

Change: the spread of a route is the larger of two robust estimates, drawn to a prior while samples are few; an upstream is ejected only while others that have answered since the evidence began do well; the error rate of the others is pooled without the worst. An own failure domain of fewer than three upstreams is used together with its region.

--- /dev/null
+++ b/benchmarks/detection/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of gray failures by the decision cores, in simulated time."""
--- /dev/null
+++ b/benchmarks/detection/policies.py
@@ -0,0 +1,100 @@
+"""The detectors to compare, behind one interface."""
+
+import random
+
+from chervilpitch import health, routing
+from chervilpitch.health import naive as naive_health
+from chervilpitch.health.ejection import capacity
+from chervilpitch.routing import naive as naive_routing
+
+__all__ = ["Naive", "Ours"]
+
+
+class Ours:
+    """The cores of this project."""
+
+    name = "ours"
+
+    def __init__(self, domain, catalogue, seed):
+        self.health = health.HealthState(domain)
+        rng = random.Random(seed)
+        self.routing = routing.RoutingState(0, domain, self.health, rng)
+        routing.put_in_force(self.routing, catalogue, 0.0)
+
+    def reserve(self, route, failed, now_s, request_bytes, reused):
+        got = routing.reserve(
+            self.routing, route, failed, now_s, request_bytes=request_bytes
+        )
+        if got.is_err():
+            return None
+        held = got.unwrap()
+        if held.upstream in reused:
+            self.health.add_exchange(
+                held.number,
+                self.health.exchanges[held.number]._replace(is_reused=True),
+            )
+        return held.upstream, held
+
+    def progressed(self, held, now_s):
+        health.progressed(self.health, held.number, now_s)
+
+    def release(self, held, observation, now_s):
+        routing.release(self.routing, held, observation, now_s)
+
+    def tick(self, now_s):
+        health.tick(self.health, now_s)
+        return health.silent_upstreams(self.health, now_s)
+
+    def probes_due(self, now_s):
+        return health.probes_due(self.health, now_s)
+
+    def probed(self, name, is_well, now_s):
+        seen = health.ProbeAnswered(0.025) if is_well else health.ProbeFailed()
+        health.observe(self.health, name, seen, now_s)
+
+    def ejected(self, now_s):
+        records = self.health.upstreams
+        return {n for n in records if records[n].ejected_until_at_s is not None}
+
+    def capacity(self, service, now_s):
+        return capacity(self.health, service, now_s)
+
+
+class Naive:
+    """Fixed thresholds without a floor."""
+
+    name = "naive"
+
+    def __init__(self, domain, catalogue, seed):
+        self.health = naive_health.NaiveHealth()
+        rng = random.Random(seed)
+        self.routing = naive_routing.NaiveRouting(domain, self.health, rng)
+        naive_health.put_in_force(self.health, catalogue, 0.0)
+
+    def reserve(self, route, failed, now_s, request_bytes, reused):
+        name = naive_routing.reserve(self.routing, route, failed, now_s)
+        return None if name is None else (name, name)
+
+    def progressed(self, held, now_s):
+        pass
+
+    def release(self, held, observation, now_s):
+        naive_routing.release(self.routing, held)
+        naive_health.observe(self.health, held, observation, now_s)
+
+    def tick(self, now_s):
+        return ()
+
+    def probes_due(self, now_s):
+        return ()
+
+    def probed(self, name, is_well, now_s):
+        pass
+
+    def ejected(self, now_s):
+        names = self.health.records
+        return set(names) - set(naive_health.eligible(self.health, "service", now_s))
+
+    def capacity(self, service, now_s):
+        names = naive_health.eligible(self.health, service, now_s)
+        return sum(self.health.records[n].upstream.slots for n in names)
--- a/src/chervilpitch/health/__init__.py
+++ b/src/chervilpitch/health/__init__.py
@@ -16,7 +16,7 @@
     Truncated,
 )
 from .probing import probes_due, receive, report
-from .queries import UpstreamStatus, eligible, snapshot, weight
+from .queries import UpstreamStatus, eligible, silent_upstreams, snapshot, weight
 from .state import HealthState, RoundTrips
 
 __all__ = [
@@ -43,6 +43,7 @@
     "put_in_force",
     "receive",
     "report",
+    "silent_upstreams",
     "snapshot",
     "started",
     "tick",
--- a/src/chervilpitch/health/baseline.py
+++ b/src/chervilpitch/health/baseline.py
@@ -8,12 +8,18 @@
 
 __all__ = ["Baseline", "LatencyTable", "size_class"]
 
-SAMPLES_PER_UPSTREAM = 8
+SAMPLES_PER_UPSTREAM = 16
+MIN_SAMPLES_FOR_SPREAD = 4
 MIN_SPREAD = 0.3
+PRIOR_SPREAD = 0.8
+PRIOR_SAMPLES = 8
 NORMAL_MAD_RATIO = 1.4826
+UPPER_SHARE = 0.9
+NORMAL_UPPER_QUANTILE = 1.645
 SAMPLE_LIFE_S = 120.0
 MIN_OTHER_UPSTREAMS = 2
 MIN_OTHER_SAMPLES = 6
+CACHE_LIFE_S = 0.25
 SIZE_STEP = 16
 SMALLEST_CLASS_BYTES = 4096
 
@@ -73,6 +79,7 @@
 
     def __init__(self) -> None:
         self._samples = {}
+        self._cache = {}
 
     def add(self, key, upstream: str, latency_s: float, now_s: float) -> None:
         """Take in one latency.
@@ -111,6 +118,15 @@
         Baseline or None
             None while too few others have answered lately.
         """
+        held, expires_at_s = self._cache.get((key, upstream), (None, -math.inf))
+        if now_s < expires_at_s:
+            return held
+        baseline = self._compute(key, upstream, now_s)
+        if baseline is not None:
+            self._cache[key, upstream] = (baseline, now_s + CACHE_LIFE_S)
+        return baseline
+
+    def _compute(self, key, upstream, now_s):
         row = self._samples.get(key, {})
         others = [
             held.logs
@@ -131,6 +147,7 @@
         is_kept : callable
             Tells whether an upstream of that name is kept.
         """
+        self._cache.clear()
         for key, row in list(self._samples.items()):
             kept = {name: held for name, held in row.items() if is_kept(name)}
             self._samples[key] = kept
@@ -140,11 +157,22 @@
 
 def _summarize(others):
     middles = [median(logs) for logs in others]
-    deviations = [
+    deviations = sorted(
         abs(value - middle)
         for logs, middle in zip(others, middles)
-        if len(logs) > 2
+        if len(logs) >= MIN_SAMPLES_FOR_SPREAD
         for value in logs
-    ]
-    mad = median(deviations) if deviations else 0.0
-    return Baseline(median(middles), max(MIN_SPREAD, NORMAL_MAD_RATIO * mad))
+    )
+    return Baseline(median(middles), _spread(deviations))
+
+
+def _spread(deviations):
+    """Return the larger of two robust estimates, drawn to the prior when few."""
+    count = len(deviations)
+    if not count:
+        return PRIOR_SPREAD
+    middle = NORMAL_MAD_RATIO * deviations[count // 2]
+    upper = deviations[int(UPPER_SHARE * count)] / NORMAL_UPPER_QUANTILE
+    measured = max(MIN_SPREAD, middle, upper)
+    total = count * measured**2 + PRIOR_SAMPLES * PRIOR_SPREAD**2
+    return math.sqrt(total / (count + PRIOR_SAMPLES))
--- a/src/chervilpitch/health/detector.py
+++ b/src/chervilpitch/health/detector.py
@@ -145,15 +145,13 @@
     """
     now_s = state.advance(now_s)
     state.mark_tick(now_s)
-    effects = []
-    names = {exchange.upstream for exchange in state.exchanges.values()}
-    busy = {state.upstreams[n].upstream.service for n in names if n in state.upstreams}
-    for service in sorted(busy):
-        effects += ejection.judge(state, service, now_s)
+    busy = {exchange.upstream for exchange in state.exchanges.values()}
+    in_use = sorted(busy & state.upstreams.keys())
+    effects = ejection.judge(state, in_use, now_s)
     for name, record in list(state.upstreams.items()):
         if now_s >= record.forgiven_at_s:
             _forgive(state, name, now_s)
-    return tuple(effects)
+    return effects
 
 
 def put_in_force(
@@ -199,7 +197,7 @@
     if isinstance(observation, (ProbeAnswered, ProbeFailed)):
         state.replace(name, probe_at_s=math.inf)
     absorb(observation, state, name, exchange, now_s)
-    effects = ejection.judge(state, service, now_s)
+    effects = ejection.judge(state, (name,), now_s)
     if isinstance(observation, DrainingSeen):
         event = Event("health", "draining-seen", name)
         effects += (Record(event),)
--- a/src/chervilpitch/health/ejection.py
+++ b/src/chervilpitch/health/ejection.py
@@ -1,10 +1,11 @@
 """Ejection and readmission, never below the floor of healthy capacity."""
 
 import math
+from collections.abc import Iterable
 
 from chervilpitch.model import Event, Record
 
-from .evidence import doubt, relative_doubt
+from .evidence import doubt, has_sound_peers
 from .scores import EJECT_SCORE, NO_SCORES
 from .state import NEVER_S, HealthState
 
@@ -106,15 +107,15 @@
     return min(FLOOR_SHARE * declared, usable)
 
 
-def judge(state: HealthState, service: str, now_s: float) -> tuple[Record, ...]:
-    """Eject the upstreams that fail while others do not, worst first.
+def judge(state: HealthState, names: Iterable[str], now_s: float) -> tuple[Record, ...]:
+    """Eject those upstreams that fail while others do not, worst first.
 
     Parameters
     ----------
     state : HealthState
         Changed in place.
-    service : str
-        Name of the service.
+    names : iterable of str
+        Names of the upstreams to judge.
     now_s : float
         Monotonic time in seconds.
 
@@ -124,19 +125,18 @@
         Events for the time line.
     """
     failing = []
-    for name in state.services.get(service, ()):
+    for name in names:
         if not is_eligible(state, name, now_s):
             continue
-        limit = _limit(state, name, now_s)
-        if doubt(state, name, now_s) < limit:
+        score = doubt(state, name, now_s)
+        if score < _limit(state, name, now_s):
             continue
-        score = relative_doubt(state, name, now_s)
-        if score >= limit:
+        if has_sound_peers(state, name, now_s):
             failing.append((-score, name))
     return tuple(
         effect
         for score, name in sorted(failing)
-        for effect in _eject(state, service, name, -score, now_s)
+        for effect in _eject(state, name, -score, now_s)
     )
 
 
@@ -164,6 +164,7 @@
     state.replace(
         name,
         scores=NO_SCORES,
+        suspect_from_at_s=math.inf,
         ejected_until_at_s=None,
         ramp_ends_at_s=ramp_ends_at_s,
         probe_at_s=math.inf,
@@ -240,7 +241,8 @@
     return key
 
 
-def _eject(state, service, name, score, now_s):
+def _eject(state, name, score, now_s):
+    service = state.upstreams[name].upstream.service
     freed = _slots(state, name) * ramp(state, name, now_s)
     left = capacity(state, service, now_s) - freed
     if left < required_capacity(state, service, now_s):
--- a/src/chervilpitch/health/evidence.py
+++ b/src/chervilpitch/health/evidence.py
@@ -2,7 +2,6 @@
 
 import math
 from functools import singledispatch
-from statistics import median
 
 from .baseline import size_class
 from .observations import (
@@ -20,12 +19,15 @@
 from .scores import EJECT_SCORE, add_error, add_latency, add_success, latency_ratio
 from .state import Exchange, HealthState
 
-__all__ = ["absorb", "doubt", "pending", "relative_doubt"]
+__all__ = ["absorb", "doubt", "has_sound_peers", "is_silent", "pending"]
 
 MIN_LATENCY_S = 0.0005
 RECENT_S = 3.0
-ERROR_SMOOTHING = 1 / 32
-STALL_EVIDENCE = 3.5
+OUTCOMES = 24
+WITNESS_ANSWERS = 3
+SOUND_SCORE = EJECT_SCORE / 4
+SOUND_SHARE = 0.5
+STALL_EVIDENCE = 7.0
 REUSED_EVIDENCE_SHARE = 0.5
 BODY_SILENCE_S = 2.0
 PACED_BODY_BYTES = 65_536
@@ -58,21 +60,21 @@
 
 @absorb.register
 def _(observation: Answered, state, name, exchange, now_s):
-    _count_outcome(state, name, add_success, 0.0, now_s)
+    _count_outcome(state, name, add_success, False, now_s)
     if _spans_pause(state, exchange):
         return
     ratio = _first_byte_ratio(state, name, exchange, observation, now_s)
     pace = _pace_ratio(state, name, exchange, observation, now_s)
     ratios = [value for value in (ratio, pace) if value is not None]
     if ratios:
-        _add_latency(state, name, max(ratios))
+        _add_latency(state, name, max(ratios), now_s)
 
 
 @absorb.register(ErrorAnswer)
 @absorb.register(ConnectFailed)
 @absorb.register(Truncated)
 def _(observation, state, name, exchange, now_s):
-    _count_outcome(state, name, add_error, 1.0, now_s)
+    _count_outcome(state, name, add_error, True, now_s)
 
 
 @absorb.register
@@ -80,8 +82,8 @@
     if _spans_pause(state, exchange):
         return
     share = REUSED_EVIDENCE_SHARE if exchange and exchange.is_reused else 1.0
-    _add_latency(state, name, STALL_EVIDENCE * share)
-    state.replace(name, seen_at_s=now_s)
+    _add_latency(state, name, STALL_EVIDENCE * share, now_s)
+    _note_end(state, name, now_s)
 
 
 @absorb.register(Abandoned)
@@ -100,7 +102,7 @@
     scores = state.upstreams[name].scores
     if scores.latency < PROBE_SCORE_CAP:
         raised = min(PROBE_SCORE_CAP, scores.latency + PROBE_EVIDENCE)
-        state.replace(name, scores=scores._replace(latency=raised))
+        _set_scores(state, name, scores._replace(latency=raised), now_s)
 
 
 @absorb.register
@@ -129,6 +131,28 @@
     return sum(_pending_ratio(state, name, exchange, now_s) for exchange in held)
 
 
+def is_silent(state: HealthState, name: str, now_s: float) -> bool:
+    """Return whether an exchange on a reused connection is overdue.
+
+    Parameters
+    ----------
+    state : HealthState
+        Not changed.
+    name : str
+        Name of the upstream.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    bool
+        True when fresh connections should be tried, because something between
+        the two ends may have lost track of the old ones.
+    """
+    held = (x for x in state.in_flight(name) if x.is_waiting and x.is_reused)
+    return any(_pending_ratio(state, name, x, now_s) > 0 for x in held)
+
+
 def doubt(state: HealthState, name: str, now_s: float) -> float:
     """Return the strongest evidence against an upstream, taken for itself.
 
@@ -151,8 +175,12 @@
     return max(latency, scores.frequent_errors, scores.occasional_errors)
 
 
-def relative_doubt(state: HealthState, name: str, now_s: float) -> float:
-    """Return how much stronger the evidence is than against the other upstreams.
+def has_sound_peers(state: HealthState, name: str, now_s: float) -> bool:
+    """Return whether other upstreams do well while this one does not.
+
+    Only those are asked that have ended a few exchanges since the evidence against
+    this one began: an answer from before tells nothing when everything has become
+    slow at once.
 
     Parameters
     ----------
@@ -165,22 +193,32 @@
 
     Returns
     -------
-    float
-        Near 0 when the whole service is slow or failing.
+    bool
+        False when the whole service is slow or failing.
     """
-    others = [
+    from_at_s = _suspect_from_at_s(state, name, now_s)
+    doubts = [
         doubt(state, other, now_s)
         for other in state.peers_of(name)
-        if _is_recent(state, other, now_s)
+        if _has_answered_since(state, other, from_at_s)
     ]
-    usual = median(others) if others else 0.0
-    return doubt(state, name, now_s) - usual
+    sound = sum(value < SOUND_SCORE for value in doubts)
+    return sound > 0 and sound >= SOUND_SHARE * len(doubts)
+
+
+def _suspect_from_at_s(state, name, now_s):
+    waiting = (x.silent_from_at_s for x in state.in_flight(name) if x.is_waiting)
+    return min(state.upstreams[name].suspect_from_at_s, *waiting, now_s)
+
+
+def _has_answered_since(state, name, from_at_s):
+    seen_at_s = state.upstreams[name].seen_at_s
+    return len(seen_at_s) == WITNESS_ANSWERS and seen_at_s[0] > from_at_s
 
 
 def _is_recent(state, name, now_s):
-    if now_s - state.upstreams[name].seen_at_s < RECENT_S:
-        return True
-    return bool(state.in_flight(name))
+    seen_at_s = state.upstreams[name].seen_at_s
+    return bool(seen_at_s) and now_s - seen_at_s[-1] < RECENT_S
 
 
 def _class_of(exchange, request_bytes):
@@ -233,22 +271,37 @@
     return max(0.0, ratio) * share
 
 
-def _add_latency(state, name, ratio):
-    scores = add_latency(state.upstreams[name].scores, ratio)
-    state.replace(name, scores=scores)
+def _add_latency(state, name, ratio, now_s):
+    _set_scores(state, name, add_latency(state.upstreams[name].scores, ratio), now_s)
+
+
+def _set_scores(state, name, scores, now_s):
+    from_at_s = state.upstreams[name].suspect_from_at_s
+    from_at_s = min(from_at_s, now_s) if max(scores) > 0 else math.inf
+    state.replace(name, scores=scores, suspect_from_at_s=from_at_s)
 
 
-def _count_outcome(state, name, add, error, now_s):
+def _note_end(state, name, now_s):
+    seen_at_s = (*state.upstreams[name].seen_at_s, now_s)[-WITNESS_ANSWERS:]
+    state.replace(name, seen_at_s=seen_at_s)
+
+
+def _count_outcome(state, name, add, is_error, now_s):
     record = state.upstreams[name]
     scores = add(record.scores, _usual_error_rate(state, name, now_s))
-    rate = record.error_rate + ERROR_SMOOTHING * (error - record.error_rate)
-    state.replace(name, scores=scores, error_rate=rate, seen_at_s=now_s)
+    _set_scores(state, name, scores, now_s)
+    outcomes = (*record.outcomes, is_error)[-OUTCOMES:]
+    state.replace(name, outcomes=outcomes)
+    _note_end(state, name, now_s)
 
 
 def _usual_error_rate(state, name, now_s):
-    rates = [
-        state.upstreams[other].error_rate
+    """Return the error rate of the others, without the worst of them."""
+    others = [
+        state.upstreams[other].outcomes
         for other in state.peers_of(name)
         if _is_recent(state, other, now_s)
     ]
-    return median(rates) if rates else 0.0
+    usual = sorted(others, key=sum)[:-1]
+    total = sum(map(len, usual))
+    return sum(map(sum, usual)) / total if total else 0.0
--- a/src/chervilpitch/health/queries.py
+++ b/src/chervilpitch/health/queries.py
@@ -4,13 +4,13 @@
 from typing import NamedTuple
 
 from . import ejection
-from .evidence import doubt
+from .evidence import doubt, is_silent
 from .scores import EJECT_SCORE
 from .state import HealthState
 
-__all__ = ["UpstreamStatus", "eligible", "snapshot", "weight"]
+__all__ = ["UpstreamStatus", "eligible", "silent_upstreams", "snapshot", "weight"]
 
-LEAST_DOUBT_WEIGHT = 0.1
+FAILING_WEIGHT = 0.1
 REPORTED_WEIGHT = 0.5
 
 
@@ -79,19 +79,46 @@
     Returns
     -------
     float
-        1 for a healthy one, less while it ramps up or is in doubt, 0 when it must
-        get nothing.
+        1 for a healthy one, less while it ramps up, when peers report it or when
+        it fails without being ejected; 0 when it must get nothing.
+
+    Notes
+    -----
+    The weight stays whole until the evidence is enough for an ejection. Lowering
+    it earlier would slow the evidence down.
     """
     now_s = state.clock(now_s)
     if not ejection.is_eligible(state, upstream_name, now_s):
         return 0.0
-    share = doubt(state, upstream_name, now_s) / EJECT_SCORE
-    trusted = max(LEAST_DOUBT_WEIGHT, 1.0 - share)
+    trusted = 1.0
+    if doubt(state, upstream_name, now_s) >= EJECT_SCORE:
+        trusted = FAILING_WEIGHT
     if now_s < state.upstreams[upstream_name].doubted_until_at_s:
         trusted *= REPORTED_WEIGHT
     return trusted * ejection.ramp(state, upstream_name, now_s)
 
 
+def silent_upstreams(state: HealthState, now_s: float) -> tuple[str, ...]:
+    """Return the upstreams whose idle connections should be closed.
+
+    Parameters
+    ----------
+    state : HealthState
+        Not changed.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of str
+        Names of upstreams; the next exchanges there should use fresh connections.
+    """
+    now_s = state.clock(now_s)
+    busy = {exchange.upstream for exchange in state.exchanges.values()}
+    in_use = sorted(busy & state.upstreams.keys())
+    return tuple(name for name in in_use if is_silent(state, name, now_s))
+
+
 def snapshot(state: HealthState, now_s: float) -> Mapping[str, UpstreamStatus]:
     """Return the rows of the status page by name of upstream.
 
--- a/src/chervilpitch/health/scores.py
+++ b/src/chervilpitch/health/scores.py
@@ -23,6 +23,8 @@
 LATENCY_SHIFT = math.log(2.5)
 LATENCY_EVIDENCE_CAP = 3.5
 LATENCY_EVIDENCE_FLOOR = -2.5
+LONG_DEVIATION = math.log(8.0)
+DOUBLING = math.log(2.0)
 ERROR_RATE_FLOOR = 0.01
 FREQUENT_ERROR_RATE = 0.5
 OCCASIONAL_ERROR_RATE = 0.1
@@ -74,7 +76,9 @@
     True
     """
     ratio = LATENCY_SHIFT / spread**2 * (deviation - LATENCY_SHIFT / 2)
-    return min(LATENCY_EVIDENCE_CAP, max(LATENCY_EVIDENCE_FLOOR, ratio))
+    beyond = max(0.0, (deviation - LONG_DEVIATION) / DOUBLING)
+    cap = LATENCY_EVIDENCE_CAP * min(2.0, 1.0 + beyond)
+    return min(cap, max(LATENCY_EVIDENCE_FLOOR, ratio))
 
 
 def add_latency(scores: Scores, ratio: float) -> Scores:
--- a/src/chervilpitch/health/state.py
+++ b/src/chervilpitch/health/state.py
@@ -39,10 +39,12 @@
         The upstream as declared.
     scores : Scores
         Evidence against it.
-    error_rate : float
-        Moving average of the share of errors.
-    seen_at_s : float
-        When it last gave evidence.
+    outcomes : tuple of bool
+        Whether the last exchanges ended in an error, oldest first.
+    seen_at_s : tuple of float
+        When the last few exchanges ended, oldest first.
+    suspect_from_at_s : float
+        When the evidence against it began to mount.
     ejected_until_at_s : float or None
         Earliest time of readmission; None when not ejected.
     ejections : int
@@ -61,8 +63,9 @@
 
     upstream: Upstream
     scores: Scores = NO_SCORES
-    error_rate: float = 0.0
-    seen_at_s: float = NEVER_S
+    outcomes: tuple[bool, ...] = ()
+    seen_at_s: tuple[float, ...] = ()
+    suspect_from_at_s: float = math.inf
     ejected_until_at_s: float | None = None
     ejections: int = 0
     forgiven_at_s: float = math.inf
--- a/src/chervilpitch/routing/choice.py
+++ b/src/chervilpitch/routing/choice.py
@@ -28,6 +28,7 @@
 ]
 
 SOUND_WEIGHT = 0.5
+OWN_DOMAIN_MIN = 3
 EXPLORE_SHARE = 1 / 32
 FAR_EXPLORE_SHARE = 1 / 8
 RETRY_GAP_S = 0.1
@@ -93,7 +94,8 @@
     Notes
     -----
     The own failure domain comes first, then the own region, then other regions.
-    Within one of these the less loaded of two random choices is taken [1]_.
+    An own domain with few upstreams is taken together with the own region. Within
+    one of these the less loaded of two random choices is taken [1]_.
 
     References
     ----------
@@ -108,9 +110,9 @@
     free = [name for name in untried if _has_room(state, name, now_s)]
     if not free:
         return Err(_no_slot(state, untried, now_s))
-    weights = {name: health.weight(state.health, name, now_s) for name in free}
-    ring = _pick_ring(state, weights)
-    name = _less_loaded(state, {name: weights[name] for name in ring})
+    ring = _pick_ring(state, free, now_s)
+    weights = {name: health.weight(state.health, name, now_s) for name in ring}
+    name = _less_loaded(state, weights)
     held = _take(state, name, route.name)
     health.started(
         state.health,
@@ -225,13 +227,13 @@
     return Refusal(RefusalKind.NO_SLOT, RunState.NOT_RUN, retry_at_s=retry_at_s)
 
 
-def _pick_ring(state, weights):
-    own, region, far = _rings(state, weights)
-    if _is_sound(own, weights):
+def _pick_ring(state, names, now_s):
+    own, region, far = _rings(state, names)
+    if len(own) >= OWN_DOMAIN_MIN and _is_sound(state, own, now_s):
         explores = region and state.rng.random() < EXPLORE_SHARE
         return region if explores else own
     near = own + region
-    if _is_sound(near, weights):
+    if _is_sound(state, near, now_s):
         return near
     if not near or (far and state.rng.random() < FAR_EXPLORE_SHARE):
         return far
@@ -251,8 +253,9 @@
     return own, region, far
 
 
-def _is_sound(names, weights):
-    return any(weights[name] >= SOUND_WEIGHT for name in names)
+def _is_sound(state, names, now_s):
+    weights = (health.weight(state.health, name, now_s) for name in names)
+    return any(share >= SOUND_WEIGHT for share in weights)
 
 
 def _less_loaded(state, weights):
