Spread release notes between instances

Cause: a note has to be in force everywhere within seconds and never revert, also when only some instances reach the platform. Ruled out: putting a note in force as soon as it is read, and settling a tie by digest order; both let one side of a race revert. Change: a note waits three seconds for a rival, unless a later note follows it or a peer has it in force; rivals are held back and shown; a later note that follows one of them, or names the other in 'replaces', decides.

--- a/src/chervilpitch/notes/canonical.py
+++ b/src/chervilpitch/notes/canonical.py
@@ -37,8 +37,10 @@
         "[note]",
         f"revision = {note.revision}",
         f"follows = {note.follows}".rstrip(),
-        f"items = {len(note.changes)}",
     ]
+    if note.replaces:
+        head.append("replaces = " + ", ".join(sorted(note.replaces)))
+    head.append(f"items = {len(note.changes)}")
     ordered = sorted(note.changes, key=lambda change: (change.kind, change.name))
     lines = [line for change in ordered for line in ("", *_section(change))]
     return "\n".join([*head, *lines]) + "\n"
--- a/src/chervilpitch/notes/changes.py
+++ b/src/chervilpitch/notes/changes.py
@@ -137,9 +137,13 @@
         Each item at most once.
     file : str
         Name of the file or value that was read.
+    replaces : tuple of str
+        Digests of notes in force on a part of the fleet after a conflict, which
+        the operators give up.
     """
 
     revision: int
     follows: str
     changes: tuple[Change, ...]
     file: str = ""
+    replaces: tuple[str, ...] = ()
--- a/src/chervilpitch/notes/options.py
+++ b/src/chervilpitch/notes/options.py
@@ -68,6 +68,14 @@
     return names
 
 
+def _digests(value: Any) -> Any:
+    """Split a list of digests."""
+    digests = tuple(digest.strip() for digest in value.split(","))
+    if not all(map(DIGEST.fullmatch, digests)):
+        raise ValueError("not a list of digests")
+    return digests
+
+
 def _numeric_address(value: str) -> str:
     """Check an IP address with a port."""
     match = ADDRESS.fullmatch(value)
@@ -145,6 +153,11 @@
             description="digest of the note before, empty for revision 1",
         ),
     ] = ""
+    replaces: Annotated[
+        tuple[str, ...],
+        BeforeValidator(_digests),
+        Field(description="digests joined by commas"),
+    ] = ()
     items: SectionCount | None = None
 
 
--- a/src/chervilpitch/notes/parsing.py
+++ b/src/chervilpitch/notes/parsing.py
@@ -80,7 +80,11 @@
         found.append(_truncated(heads[0], len(others), options.items, file))
     if found:
         return Err(_limited(found, file))
-    return Ok(ReleaseNote(options.revision, options.follows, tuple(changes), file))
+    return Ok(
+        ReleaseNote(
+            options.revision, options.follows, tuple(changes), file, options.replaces
+        )
+    )
 
 
 def _decode(text: str | bytes, file: str) -> Result[str, tuple[NoteProblem, ...]]:
--- a/tests/notes/test_applying.py
+++ b/tests/notes/test_applying.py
@@ -112,6 +112,12 @@
     )
 
 
+def test_replaced_digests_are_part_of_the_canonical_text():
+    note = parse(TEXT.replace("follows =", f"replaces = {KEY}"), "x").unwrap()
+    assert note.replaces == (KEY,)
+    assert parse(canonical(note), "x").unwrap().replaces == (KEY,)
+
+
 def test_digest_ignores_order_and_spelling_but_not_meaning():
     note = parse(TEXT, "x").unwrap()
     assert digest(note) == digest(parse(TEXT.replace("= 50", "=  50.0"), "y").unwrap())
--- /dev/null
+++ b/tests/spread/test_spread.py
@@ -0,0 +1,179 @@
+"""Notes reach every instance, in order, whatever part of the fleet can read."""
+
+import pytest
+
+from chervilpitch.model import Sender
+from chervilpitch.spread import NotesReply, NoteText, SnapshotPart, receive, status
+from chervilpitch.spread.naive import NaiveSpread
+from tests.spread.fleet import Fleet, note_text, publish_snapshot
+
+PEER = Sender("i1", 1)
+
+
+def started(count=9, notes=2, **options):
+    """Return a fleet that has the first notes in force."""
+    fleet = Fleet(count, **options)
+    for _ in range(notes):
+        fleet.platform.publish()
+    fleet.run(20)
+    assert fleet.in_force() == {fleet.platform.head}
+    assert fleet.are_ready()
+    return fleet
+
+
+def test_note_is_in_force_everywhere_within_seconds():
+    fleet = started()
+    fleet.platform.publish()
+    fleet.run(4)
+    assert fleet.in_force() == {fleet.platform.head}
+
+
+def test_one_instance_that_reaches_the_platform_is_enough():
+    fleet = started()
+    fleet.down = set(fleet.states) - {"i4"}
+    fleet.platform.publish()
+    fleet.run(8)
+    assert fleet.in_force() == {fleet.platform.head}
+
+
+def test_catalogue_stays_while_the_platform_is_down_for_hours():
+    fleet = started()
+    fleet.down = set(fleet.states)
+    fleet.run(600)
+    assert fleet.in_force() == {fleet.platform.head}
+
+
+def test_stale_replica_is_ignored_and_reported():
+    fleet = started(notes=4)
+    fleet.behind = {name: 2 for name in fleet.states}
+    fleet.run(30)
+    assert fleet.in_force() == {fleet.platform.head}
+    assert fleet.recorded("platform-stale") == set(fleet.states)
+
+
+def test_lost_late_and_repeated_messages_only_delay_a_note():
+    fleet = started(loss=0.4, seed=3)
+    fleet.down = set(fleet.states) - {"i0"}
+    fleet.platform.publish()
+    fleet.run(60)
+    assert fleet.in_force() == {fleet.platform.head}
+
+
+def test_both_sides_of_a_partition_catch_up_after_it():
+    fleet = started()
+    names = sorted(fleet.states)
+    fleet.split(names[:4], names[4:])
+    fleet.down = set(names[4:])
+    fleet.platform.publish()
+    fleet.run(10)
+    assert fleet.in_force(names[:4]) == {fleet.platform.head}
+    fleet.cuts = set()
+    fleet.run(20)
+    assert fleet.in_force() == {fleet.platform.head}
+
+
+def test_restarted_instance_takes_the_state_from_peers_when_the_platform_is_down():
+    fleet = started()
+    fleet.down = set(fleet.states)
+    fleet.start("i3")
+    fleet.run(10)
+    assert fleet.in_force() == {fleet.platform.head}
+    assert fleet.are_ready()
+
+
+def test_restarted_instance_with_a_stale_replica_is_not_ready_before_its_peers_state():
+    fleet = started(notes=4)
+    fleet.behind = {"i3": 2}
+    fleet.start("i3")
+    for _ in range(40):
+        fleet.run(0.25)
+        seen = status(fleet.states["i3"])
+        assert not seen.is_ready or seen.revision == 4
+    assert fleet.are_ready()
+
+
+def test_instance_without_platform_and_peers_never_becomes_ready():
+    fleet = Fleet(3)
+    fleet.platform.publish()
+    fleet.down = set(fleet.states)
+    fleet.run(60)
+    assert not any(status(state).is_ready for state in fleet.states.values())
+
+
+def test_instance_without_peers_becomes_ready_by_the_platform():
+    fleet = Fleet(3)
+    fleet.platform.publish()
+    fleet.split(["i0"], ["i1"], ["i2"])
+    fleet.run(10)
+    assert fleet.are_ready()
+    assert fleet.in_force() == {fleet.platform.head}
+
+
+def test_instance_far_behind_takes_a_snapshot_from_a_peer():
+    fleet = started(count=3, notes=300)
+    fleet.down = set(fleet.states)
+    fleet.start("i2")
+    fleet.run(20)
+    assert fleet.in_force() == {fleet.platform.head}
+
+
+def test_fresh_fleet_far_behind_takes_the_published_snapshot():
+    fleet = Fleet(3)
+    for _ in range(270):
+        fleet.platform.publish()
+    publish_snapshot(fleet.platform)
+    fleet.platform.publish()
+    fleet.run(20)
+    assert fleet.in_force() == {fleet.platform.head}
+    assert fleet.recorded("snapshot-in-force")
+
+
+def test_unreadable_note_is_refused_and_the_next_head_is_followed():
+    fleet = started()
+    good = fleet.platform.head
+    fleet.platform.put({"notes/3": b"\xff[no"}, (3, "0" * 64))
+    fleet.run(20)
+    assert fleet.in_force() == {good}
+    assert fleet.recorded("note-refused") == set(fleet.states)
+    fleet.start("i3")
+    fleet.run(20)
+    assert fleet.are_ready()
+    fleet.platform.head = good
+    fleet.platform.publish()
+    fleet.run(20)
+    assert fleet.in_force() == {fleet.platform.head}
+
+
+def test_note_other_than_the_head_names_is_not_put_in_force():
+    fleet = started()
+    good = fleet.platform.head
+    text, _ = note_text(3, good[1])
+    fleet.platform.put({"notes/3": text.encode()}, (3, "0" * 64))
+    fleet.run(30)
+    assert fleet.in_force() == {good}
+    assert fleet.recorded("digest-mismatch")
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        NotesReply((NoteText(3, "\0junk", True),), False),
+        NotesReply((NoteText(3, "[note]\nrevision = 1\n", True),), True),
+        SnapshotPart(9, -1, b"junk"),
+        SnapshotPart(9, 0, b"junk"),
+    ],
+)
+def test_malformed_message_leaves_the_catalogue_in_force(message):
+    fleet = started(count=3)
+    receive(fleet.states["i0"], message, PEER, fleet.now_s)
+    fleet.run(10)
+    assert fleet.in_force() == {fleet.platform.head}
+
+
+def test_naive_version_goes_back_when_an_old_peer_sends_late():
+    naive = NaiveSpread(())
+    first, name = note_text(1, "")
+    second, _ = note_text(2, name)
+    for text in (first, second, first):
+        naive.receive(NoteText(0, text, True))
+    assert naive.catalogue.revision == 1
