Spread release notes through peers in the running instance

Cause: each instance read every note from the configuration service itself. Change: the shell carries out the spread core's effects; the wait of a watch is capped by the setting watch-s so that evidence stays young.

--- a/src/chervilpitch/runtime/control.py
+++ b/src/chervilpitch/runtime/control.py
@@ -3,7 +3,15 @@
 from collections.abc import Mapping
 from functools import singledispatchmethod
 
-from chervilpitch import accounts, health, limits, membership, requests, routing
+from chervilpitch import (
+    accounts,
+    health,
+    limits,
+    membership,
+    requests,
+    routing,
+    spread,
+)
 from chervilpitch.accounts import questions
 from chervilpitch.model import Catalogue, Effect, Instance, Send, Sender
 
@@ -57,24 +65,23 @@
             effects += limits.tick(cores.limits, now_s)
             effects += questions.tick(cores.questions, now_s)
             effects += requests.tick(cores.records, now_s)
+            effects += self._spread(spread.tick(cores.spread, now_s))
             effects += self._health_reports(now_s)
         cores.carry_out(effects)
 
-    def put_in_force(self, catalogue: Catalogue) -> None:
-        """Follow a new catalogue in every core at once.
+    def platform_answered(self, event: spread.PlatformEvent) -> None:
+        """Take an answer of the configuration service.
 
         Parameters
         ----------
-        catalogue : Catalogue
-            The catalogue.
+        event : PlatformEvent
+            The answer.
         """
         cores = self._cores
         with cores.lock:
-            now_s = cores.clock()
-            cores.catalogue = catalogue
-            effects = accounts.put_in_force(cores.freshness, catalogue, now_s)
-            effects += limits.put_in_force(cores.limits, catalogue, now_s)
-            effects += routing.put_in_force(cores.routing, catalogue, now_s)
+            effects = self._spread(
+                spread.platform_answered(cores.spread, event, cores.clock())
+            )
         cores.carry_out(effects)
 
     def follow_list(self, listed: Mapping[str, Instance]) -> None:
@@ -116,6 +123,26 @@
         effects = limits.follow_instances(cores.limits, known, now_s)
         effects += accounts.follow_instances(cores.freshness, known, now_s)
         effects += requests.follow_instances(cores.records, known, now_s)
+        effects += self._spread(spread.follow_instances(cores.spread, known, now_s))
+        return effects
+
+    def _spread(self, effects) -> tuple[Effect, ...]:
+        """Put catalogues in force at once and return the other effects."""
+        rest: tuple[Effect, ...] = ()
+        for effect in effects:
+            if isinstance(effect, spread.PutInForce):
+                rest += self._put_in_force(effect.catalogue)
+            else:
+                rest += (effect,)
+        return rest
+
+    def _put_in_force(self, catalogue: Catalogue) -> tuple[Effect, ...]:
+        cores = self._cores
+        now_s = cores.clock()
+        cores.catalogue = catalogue
+        effects = accounts.put_in_force(cores.freshness, catalogue, now_s)
+        effects += limits.put_in_force(cores.limits, catalogue, now_s)
+        effects += routing.put_in_force(cores.routing, catalogue, now_s)
         return effects
 
     def _health_reports(self, now_s) -> tuple[Effect, ...]:
@@ -149,3 +176,18 @@
         now_s,
     ):
         return questions.receive(message, self._cores.questions, sender, now_s)
+
+    @_take.register
+    def _(
+        self,
+        message: (
+            spread.RevisionAdvert
+            | spread.NoteRequest
+            | spread.NotesReply
+            | spread.SnapshotRequest
+            | spread.SnapshotPart
+        ),
+        sender,
+        now_s,
+    ):
+        return self._spread(spread.receive(self._cores.spread, message, sender, now_s))
--- a/src/chervilpitch/runtime/cores.py
+++ b/src/chervilpitch/runtime/cores.py
@@ -4,7 +4,15 @@
 import threading
 from collections.abc import Callable
 
-from chervilpitch import accounts, health, limits, membership, requests, routing
+from chervilpitch import (
+    accounts,
+    health,
+    limits,
+    membership,
+    requests,
+    routing,
+    spread,
+)
 from chervilpitch.model import EMPTY_CATALOGUE, Catalogue, Effect, Instance, Sender
 
 __all__ = ["Cores"]
@@ -55,3 +63,4 @@
         self.membership = membership.MembershipState(
             own, incarnation, started_wall_ms, clock()
         )
+        self.spread = spread.SpreadState(own, clock())
--- a/src/chervilpitch/runtime/instance.py
+++ b/src/chervilpitch/runtime/instance.py
@@ -27,8 +27,8 @@
 from .decisions import Decisions
 from .loop import ControlLoop
 from .metrics import Metrics
+from .reader import PlatformReader
 from .status import status
-from .watch import PlatformWatch
 
 __all__ = ["RunningInstance", "serve"]
 
@@ -60,16 +60,20 @@
         )
         self._metrics = Metrics()
         self._control = Control(self._cores)
-        self._loop = ControlLoop(self._cores, self._control, secret, self._record)
+        self._reader = PlatformReader(
+            PlatformClient(
+                settings.platform.endpoint, settings.platform.read_timeout_s
+            ),
+            self._control,
+            self._cores,
+            settings.platform.watch_s,
+        )
+        self._loop = ControlLoop(
+            self._cores, self._control, secret, self._record, self._reader.read
+        )
         callers = settings.callers
         self._decisions = Decisions(self._cores, callers.requests_per_account)
         self._upstreams = UpstreamClient()
-        self._platform = PlatformClient(
-            settings.platform.endpoint, settings.platform.read_timeout_s
-        )
-        self._watch = PlatformWatch(
-            self._platform, self._control, self._cores, settings.platform.watch_s
-        )
         self._callers = build_server(
             own.callers_address,
             CallersApplication(
@@ -92,7 +96,7 @@
     def run(self) -> None:
         """Serve until :meth:`stop` is called."""
         self._loop.start()
-        self._watch.start()
+        self._reader.start()
         threading.Thread(target=self._admin.safe_start, daemon=True).start()
         log.info("instance: Serving begins.", instance=self._cores.own.name)
         self._callers.safe_start()
@@ -102,7 +106,7 @@
 
     def stop(self) -> None:
         """Leave, finish the requests in progress and end :meth:`run`."""
-        self._watch.stop()
+        self._reader.stop()
         self._callers.stop()
 
     def _status(self):
--- a/src/chervilpitch/runtime/loop.py
+++ b/src/chervilpitch/runtime/loop.py
@@ -5,6 +5,7 @@
 
 from chervilpitch.limits import ASK_INTERVAL_S
 from chervilpitch.model import Effect, Record, Send
+from chervilpitch.spread import ReadPlatform
 from chervilpitch.transport.clock import wall_ns
 from chervilpitch.transport.codec import Envelope
 from chervilpitch.transport.peers import PeersChannel
@@ -28,12 +29,15 @@
         Secret shared by the fleet.
     record : callable
         Takes each event for the time line.
+    read : callable
+        Takes each wish to read the configuration service.
     """
 
-    def __init__(self, cores: Cores, control: Control, secret: bytes, record):
+    def __init__(self, cores: Cores, control: Control, secret: bytes, record, read):
         self._cores = cores
         self._control = control
         self._record = record
+        self._read = read
         self._channel = PeersChannel(secret, cores.own.name, self._deliver)
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -69,6 +73,8 @@
         for effect in effects:
             if isinstance(effect, Record):
                 self._record(effect.event)
+            elif isinstance(effect, ReadPlatform):
+                self._read(effect)
 
     def _run(self):
         asyncio.set_event_loop(self._loop)
--- a/src/chervilpitch/settings/schema.py
+++ b/src/chervilpitch/settings/schema.py
@@ -94,7 +94,7 @@
 
     endpoint: Address
     read_timeout_s: Seconds = 2.0
-    watch_s: Seconds = 10.0
+    watch_s: Seconds = 2.0
 
 
 class CallersSettings(Section):
--- a/src/chervilpitch/transport/codec.py
+++ b/src/chervilpitch/transport/codec.py
@@ -7,7 +7,7 @@
 import capnp
 from result import Err, Ok, Result
 
-from chervilpitch import accounts, limits
+from chervilpitch import accounts, limits, spread
 from chervilpitch.errors import FrameError
 from chervilpitch.health.messages import HealthReport
 from chervilpitch.membership.messages import Hello
@@ -29,6 +29,11 @@
     "release": limits.Release,
     "tokenRequest": limits.TokenRequest,
     "grant": limits.Grant,
+    "revisionAdvert": spread.RevisionAdvert,
+    "noteRequest": spread.NoteRequest,
+    "notesReply": spread.NotesReply,
+    "snapshotRequest": spread.SnapshotRequest,
+    "snapshotPart": spread.SnapshotPart,
     "revisionQuestion": accounts.RevisionQuestion,
     "revisionAnswer": accounts.RevisionAnswer,
 }
--- a/src/chervilpitch/transport/peers.capnp
+++ b/src/chervilpitch/transport/peers.capnp
@@ -21,6 +21,11 @@
     grant @13 :Grant;
     revisionQuestion @14 :RevisionQuestion;
     revisionAnswer @15 :RevisionAnswer;
+    revisionAdvert @16 :RevisionAdvert;
+    noteRequest @17 :NoteRequest;
+    notesReply @18 :NotesReply;
+    snapshotRequest @19 :SnapshotRequest;
+    snapshotPart @20 :SnapshotPart;
   }
 }
 
@@ -128,3 +133,39 @@
   number @0 :UInt64;
   revision @1 :UInt64;
 }
+
+struct RevisionAdvert {
+  revision @0 :UInt64;
+  digest @1 :Text;
+  newestRevision @2 :UInt64;
+  newestDigest @3 :Text;
+  platformAgeS @4 :Float64;
+  isReady @5 :Bool;
+  isQuery @6 :Bool;
+}
+
+struct NoteRequest {
+  fromRevision @0 :UInt64;
+}
+
+struct NoteText {
+  revision @0 :UInt64;
+  text @1 :Text;
+  isInForce @2 :Bool;
+}
+
+struct NotesReply {
+  notes @0 :List(NoteText);
+  isPruned @1 :Bool;
+}
+
+struct SnapshotRequest {
+  revision @0 :UInt64;
+  part @1 :Int32;
+}
+
+struct SnapshotPart {
+  revision @0 :UInt64;
+  part @1 :Int32;
+  data @2 :Data;
+}
