--- a/src/chervilpitch/runtime/instance.py
+++ b/src/chervilpitch/runtime/instance.py
@@ -27,6 +27,7 @@
 from .decisions import Decisions
 from .loop import ControlLoop
 from .metrics import Metrics
+from .probes import Prober
 from .reader import PlatformReader
 from .status import status
 
@@ -68,8 +69,14 @@
             self._cores,
             settings.platform.watch_s,
         )
+        self._prober = Prober(self._cores)
         self._loop = ControlLoop(
-            self._cores, self._control, secret, self._record, self._reader.read
+            self._cores,
+            self._control,
+            secret,
+            self._record,
+            self._reader.read,
+            self._prober.start_due,
         )
         callers = settings.callers
         self._decisions = Decisions(self._cores, callers.requests_per_account)
@@ -100,6 +107,7 @@
         threading.Thread(target=self._admin.safe_start, daemon=True).start()
         log.info("instance: Serving begins.", instance=self._cores.own.name)
         self._callers.safe_start()
+        self._prober.stop()
         self._loop.stop()
         self._admin.stop()
         log.info("instance: Serving ended.", instance=self._cores.own.name)
--- a/src/chervilpitch/runtime/loop.py
+++ b/src/chervilpitch/runtime/loop.py
@@ -31,13 +31,18 @@
         Takes each event for the time line.
     read : callable
         Takes each wish to read the configuration service.
+    probe : callable
+        Begins the probes that are due.
     """
 
-    def __init__(self, cores: Cores, control: Control, secret: bytes, record, read):
+    def __init__(
+        self, cores: Cores, control: Control, secret: bytes, record, read, probe
+    ):
         self._cores = cores
         self._control = control
         self._record = record
         self._read = read
+        self._probe = probe
         self._channel = PeersChannel(secret, cores.own.name, self._deliver)
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -85,6 +90,7 @@
         self._listening.set()
         while not self._stopping:
             self._control.tick()
+            self._probe()
             self._forget_connections()
             await asyncio.sleep(ASK_INTERVAL_S)
         await asyncio.sleep(ASK_INTERVAL_S)
--- a/src/chervilpitch/transport/peers.capnp
+++ b/src/chervilpitch/transport/peers.capnp
@@ -38,6 +38,7 @@
   peersAddress @5 :Text;
   leaving @6 :Bool;
   startedWallMs @7 :UInt64;
+  serial @8 :UInt64;
 }
 
 struct Unheard {
@@ -61,6 +62,7 @@
   listDigest @9 :UInt64;
   announcements @10 :List(Announcement);
   unheard @11 :List(Unheard);
+  serial @12 :UInt64;
 }
 
 struct HealthReport {
--- /dev/null
+++ b/tests/transport/test_codec.py
@@ -0,0 +1,74 @@
+"""Coding of the messages between instances."""
+
+import importlib
+import inspect
+import typing
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chervilpitch.model import Sender
+from chervilpitch.transport import codec
+
+UNSIGNED = st.integers(0, 2**31 - 1)
+VALUES = {
+    int: UNSIGNED,
+    float: st.floats(allow_nan=False),
+    str: st.text(st.characters(codec="utf-8", exclude_characters="\0"), max_size=20),
+    bool: st.booleans(),
+    bytes: st.binary(max_size=20),
+}
+PACKAGES = ("accounts", "health", "limits", "membership", "requests", "spread")
+
+
+def values_of(kind):
+    """Return a strategy for a field's type."""
+    if hasattr(kind, "_fields"):
+        hints = typing.get_type_hints(kind)
+        return st.builds(kind, **{name: values_of(hints[name]) for name in hints})
+    if typing.get_origin(kind) is tuple:
+        items = values_of(typing.get_args(kind)[0])
+        return st.lists(items, max_size=3).map(tuple)
+    return VALUES[kind]
+
+
+def envelope(message):
+    return codec.Envelope(Sender("a", 2**63 + 5), "b", 2**60, 3, message)
+
+
+@pytest.mark.parametrize("name", codec.MESSAGE_TYPES)
+def test_every_message_round_trips(name):
+    @given(values_of(codec.MESSAGE_TYPES[name]))
+    def round_trips(message):
+        sent = envelope(message)
+        assert codec.decode(codec.encode(sent)).unwrap() == sent
+
+    round_trips()
+
+
+@pytest.mark.parametrize("package", PACKAGES)
+def test_every_message_type_of_a_package_is_coded(package):
+    module = importlib.import_module(f"chervilpitch.{package}.messages")
+    coded = set(codec.MESSAGE_TYPES.values())
+    nested = {
+        part
+        for kind in coded
+        for hint in typing.get_type_hints(kind).values()
+        for part in typing.get_args(hint)
+    }
+    declared = {kind for _, kind in inspect.getmembers(module, inspect.isclass)}
+    own = {kind for kind in declared if kind.__module__ == module.__name__}
+    assert own <= coded | nested
+
+
+@given(st.binary(max_size=300))
+def test_arbitrary_bytes_give_a_typed_error_or_an_envelope(payload):
+    decoded = codec.decode(payload)
+    assert decoded.is_err() or isinstance(decoded.unwrap(), codec.Envelope)
+
+
+@given(st.data())
+def test_a_truncated_envelope_never_raises(data):
+    payload = codec.encode(envelope(codec.MESSAGE_TYPES["claim"](1, 2)))
+    codec.decode(payload[: data.draw(st.integers(0, len(payload)))])
