--- a/src/chervilpitch/cli/fleet.py
+++ b/src/chervilpitch/cli/fleet.py
@@ -103,7 +103,9 @@
 
 
 def _row(status) -> list[object]:
-    ejected = [item["name"] for item in status["upstreams"] if item.get("ejected")]
+    ejected = [
+        item["name"] for item in status["upstreams"] if item["state"] == "ejected"
+    ]
     return [
         status["instance"],
         status["revision"],
--- a/src/chervilpitch/runtime/status.py
+++ b/src/chervilpitch/runtime/status.py
@@ -76,7 +76,9 @@
             holds_seat=cores.limits.tenure.holds(now_s),
             in_progress=decisions.in_progress,
             instances=list(membership.snapshot(cores.membership, now_s)),
-            upstreams=[_plain(item) for item in health.snapshot(cores.health, now_s)],
+            upstreams=[
+                _plain(item) for item in health.snapshot(cores.health, now_s).values()
+            ],
             shares=[_plain(item) for item in limits.shares(cores.limits, now_s)],
         )
 
--- /dev/null
+++ b/tests/whole/conftest.py
@@ -0,0 +1,21 @@
+"""A fleet of processes, one for the tests of a module."""
+
+import pytest
+
+from standins.caller import CallerStandIn
+from standins.demo import KEY, start_small_fleet, wait_until_served
+from standins.fleet import FleetProcesses
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with FleetProcesses(tmp_path_factory.mktemp("fleet")) as processes:
+        start_small_fleet(processes)
+        for place in processes.places.values():
+            wait_until_served(processes, place.callers)
+        yield processes
+
+
+@pytest.fixture
+def caller():
+    return CallerStandIn(KEY)
