--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -89,6 +89,11 @@
         """Addresses of the upstreams, by name."""
         return self._upstreams
 
+    @property
+    def values(self):
+        """Directory of the published values."""
+        return self._values
+
     def process(self, name):
         """Return the process of an instance or a stand-in."""
         return self._processes[name]
@@ -177,9 +182,13 @@
         note = head + text
         self._digest = note_digest(note)
         self._write(f"notes/{self._revision}", note)
-        self._write("notes/head", f"{self._revision} {self._digest}")
+        self.publish_head()
         return self._revision
 
+    def publish_head(self):
+        """Publish the revision and digest of the last note."""
+        self._write("notes/head", f"{self._revision} {self._digest}")
+
     def start_instance(self, name, **callers):
         """Start an instance."""
         place = self._places[name]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,8 +3,8 @@
 Values are files of one directory. ``GET /values/NAME`` answers the value with
 its version in ``X-Version``; ``?after=VERSION&wait=SECONDS`` waits until the
 version differs. ``GET /calls`` tells how many calls came. The file ``.mode`` in
-the directory makes it fail: ``absent`` closes every connection, ``slow`` waits
-two seconds, ``stale`` goes on answering what it saw before.
+the directory makes it fail: ``absent`` answers nothing but errors,
+``notes-absent`` has the list only, ``slow`` waits two seconds, ``stale`` goes on answering what it saw before.
 """
 
 import argparse
@@ -54,7 +54,7 @@
         with self._lock:
             self._calls += 1
         mode = self._mode()
-        if mode == "absent":
+        if mode == "absent" or (mode == "notes-absent" and "/notes/" in path):
             start_response("503 Service Unavailable", [("Content-Length", "0")])
             return []
         if mode == "slow":
