--- a/src/chervilpitch/limits/messages.py
+++ b/src/chervilpitch/limits/messages.py
@@ -44,6 +44,8 @@
         Whether the seat is promised to another incarnation.
     tenured : bool
         Whether the witness holds its own seat.
+    veteran : bool
+        Whether this incarnation of the witness has ever held its own seat.
     """
 
     witness_seat: int
@@ -51,6 +53,7 @@
     granted: bool
     taken: bool
     tenured: bool
+    veteran: bool
 
 
 class Release(NamedTuple):
--- a/src/chervilpitch/limits/tenure.py
+++ b/src/chervilpitch/limits/tenure.py
@@ -18,8 +18,9 @@
 """How long a witness keeps a promise, from the receipt of the claim."""
 
 CLAIM_INTERVAL_S = 1.0
-FOUNDING_WINDOW_S = 30.0
-PROBE_ROUNDS = 20
+FOUNDING_WINDOW_S = 10.0
+FOUNDING_SHARE = 0.75
+PROBE_ROUNDS = 6
 MIN_PROBES_PER_ROUND = 16
 
 
@@ -38,6 +39,21 @@
     until_s: float
 
 
+class UntenuredSeat(NamedTuple):
+    """A seat whose occupant has said that it does not hold it.
+
+    Parameters
+    ----------
+    is_veteran : bool
+        Whether that incarnation has held it before.
+    until_s : float
+        Monotonic time in seconds until which the statement counts.
+    """
+
+    is_veteran: bool
+    until_s: float
+
+
 class Tenure:
     """What one instance knows of its own seat and has promised for others.
 
@@ -52,7 +68,7 @@
     -----
     A witness promises only while it has had standing for a whole term: it
     holds its own seat, or it founds the tenure of its region because more than
-    half of the region's seats have lately had no tenure. By induction over the
+    `FOUNDING_SHARE` of the region's seats have just now had no tenure. By induction over the
     first moment of double tenure, two holders of a seat would need a witness
     seat with two holders before them.
     """
@@ -68,7 +84,8 @@
         self._next_number = 1
         self._next_claims_at_s = float("-inf")
         self._probe_from = 0
-        self._untenured_at_s: dict[int, float] = {}
+        self._untenured: dict[int, UntenuredSeat] = {}
+        self._is_veteran = False
         self._taken_until_s = float("-inf")
         self._held_since_s: float | None = None
         self._held_until_s = float("-inf")
@@ -157,7 +174,9 @@
             until_s = now_s + WITNESS_TERM_S
             self._promises[claim.seat] = SeatPromise(incarnation, until_s)
         seat = -1 if self._seat is None else self._seat
-        return Promise(seat, claim.number, granted, taken, self.holds(now_s))
+        tenured = self.holds(now_s)
+        veteran = self._is_veteran
+        return Promise(seat, claim.number, granted, taken, tenured, veteran)
 
     def take(self, promise: Promise, now_s: float) -> None:
         """Count the answer to a claim of ours."""
@@ -165,7 +184,9 @@
         if sent_at_s is None:
             return
         if not promise.tenured:
-            self._untenured_at_s[promise.witness_seat] = now_s
+            until_s = now_s + FOUNDING_WINDOW_S
+            heard = UntenuredSeat(promise.veteran, until_s)
+            self._untenured[promise.witness_seat] = heard
         if promise.witness_seat not in self._witnesses:
             return
         if promise.taken:
@@ -205,13 +226,16 @@
         if self._seat not in self._seats or now_s < self._taken_until_s:
             return False
         seats = self._region_seats()
-        since_s = now_s - FOUNDING_WINDOW_S
-        untenured = sum(
-            1
-            for s in seats
-            if s == self._seat or self._untenured_at_s.get(s, since_s) > since_s
-        )
-        return 2 * untenured > len(seats)
+        veterans = int(self._is_veteran)
+        untenured = 1
+        for seat in seats:
+            heard = self._untenured.get(seat)
+            if seat != self._seat and heard and heard.until_s > now_s:
+                untenured += 1
+                veterans += heard.is_veteran
+        if veterans and untenured < len(seats):
+            untenured = veterans
+        return untenured > FOUNDING_SHARE * len(seats)
 
     def _refresh(self, now_s: float) -> None:
         if now_s - self._refreshed_at_s >= TERM_S:
@@ -234,6 +258,7 @@
     def _hold_until(self, until_s: float, now_s: float) -> None:
         if not self.holds(now_s):
             self._held_since_s = now_s
+            self._is_veteran = True
         self._held_until_s = until_s
 
     def _may_promise(self, now_s: float) -> bool:
