Test tickets, records, hand-over, refusals and retries

Cause: bounds, expiry, hand-over and the mapping of refusals had no tests.

Change: one test file for each module. Trials on a scratch copy: a ticket that reopens after a not-run outcome, a digest not compared and an account not compared each fail a written schedule; a forgotten ticket or another instance's ticket answered not-run fails the random schedules. Leaving out the compare of incarnations passes, since a new incarnation holds no record of the ticket.

--- /dev/null
+++ b/tests/requests/test_answers.py
@@ -0,0 +1,68 @@
+import json
+
+import pytest
+
+from chervilpitch.model import Refusal, RefusalKind, RunState
+from chervilpitch.requests import (
+    STATUS_BY_KIND,
+    Answered,
+    NotRun,
+    Unknown,
+    before_ticket,
+    refusal_reply,
+    replay,
+)
+
+
+@pytest.mark.parametrize("kind", RefusalKind)
+@pytest.mark.parametrize("run", RunState)
+def test_every_refusal_has_a_status_and_a_machine_readable_body(kind, run):
+    reply = refusal_reply(Refusal(kind, run, ("b:1", "c:1"), 12.5), 10.0, "ticket")
+    headers = dict(reply.headers)
+    assert 400 <= reply.status <= 599
+    assert json.loads(reply.body) == {
+        "type": kind.value,
+        "run": run.value,
+        "go_to": ["b:1", "c:1"],
+        "retry_after": 3,
+    }
+    assert headers["Chervilpitch-Run"] == run.value
+    assert headers["Chervilpitch-Refusal"] == kind.value
+    assert headers["Chervilpitch-Go-To"] == "b:1, c:1"
+    assert headers["Chervilpitch-Ticket"] == "ticket"
+    assert headers["Retry-After"] == "3"
+
+
+def test_no_kind_is_without_status():
+    assert set(STATUS_BY_KIND) == set(RefusalKind)
+
+
+def test_time_already_passed_gives_zero_and_no_time_gives_none():
+    refusal = Refusal(RefusalKind.NO_SLOT, RunState.NOT_RUN, (), 1.0)
+    assert json.loads(refusal_reply(refusal, 9.0).body)["retry_after"] == 0
+    bare = refusal_reply(refusal._replace(retry_at_s=None), 9.0)
+    assert "Retry-After" not in dict(bare.headers)
+
+
+def test_recorded_answer_is_given_again_and_marked():
+    reply = replay(Answered(201, (("etag", "7"),), b"booked"), 0.0)
+    assert reply == (201, (("etag", "7"), ("Chervilpitch-Replayed", "1")), b"booked")
+
+
+@pytest.mark.parametrize(
+    "outcome, kind, run",
+    [
+        (Answered(201, (), None), "outcome-not-held", "run"),
+        (NotRun(RefusalKind.NO_SLOT), "no-slot", "not-run"),
+        (Unknown(RefusalKind.UPSTREAM_FAILED), "upstream-failed", "unknown"),
+    ],
+)
+def test_other_outcomes_are_refusals_with_their_run_state(outcome, kind, run):
+    body = json.loads(replay(outcome, 0.0).body)
+    assert (body["type"], body["run"]) == (kind, run)
+
+
+def test_refusal_before_the_ticket_is_looked_up_claims_nothing():
+    refusal = Refusal(RefusalKind.KEY_UNKNOWN, RunState.NOT_RUN)
+    assert before_ticket(refusal, has_ticket=True).run is RunState.UNKNOWN
+    assert before_ticket(refusal, has_ticket=False) == refusal
--- /dev/null
+++ b/tests/requests/test_hand_over.py
@@ -0,0 +1,124 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chervilpitch.model import Instance, RefusalKind, RunState, Sender
+from chervilpitch.requests import (
+    Answered,
+    FinalOutcomes,
+    NotRun,
+    Recorded,
+    Records,
+    Unknown,
+    begin,
+    finish,
+    follow_instances,
+    grant,
+    hand_over,
+    has_open_tickets,
+    receive,
+    seal_unused,
+    tick,
+    verify,
+)
+from chervilpitch.requests.hand_over import decode_outcome, encode_outcome
+
+SECRET = b"secret"
+OLD, NEW = Sender("a", 1), Sender("a", 2)
+A = Instance("a", 0, "r/d", "a:1", "a:2")
+KINDS = st.sampled_from(RefusalKind)
+OUTCOMES = st.one_of(
+    st.builds(NotRun, KINDS), st.builds(Unknown, KINDS), st.builds(Answered)
+)
+
+
+def pair():
+    origin, peer = Records("a", 1, SECRET), Records("b", 7, SECRET)
+    follow_instances(peer, {"a": A}, 0.0)
+    return origin, peer
+
+
+def ticket(state, name):
+    text = grant(state, "fitters", "booking", name, 0.0).unwrap()
+    return verify(SECRET, text).unwrap()
+
+
+def send(state, item, digest="d"):
+    return begin(state, item, "fitters", "booking", digest, 1.0)
+
+
+def move(origin, peer, now_s=1.0):
+    for effect in hand_over(origin, ("b",), now_s):
+        receive(effect.message, peer, OLD, now_s)
+
+
+@given(OUTCOMES)
+def test_outcome_survives_its_encoding(outcome):
+    assert decode_outcome(encode_outcome(outcome)).unwrap() == outcome
+
+
+def test_other_instance_sends_the_caller_to_the_issuer():
+    origin, peer = pair()
+    refusal = send(peer, ticket(origin, "t")).unwrap_err()
+    assert refusal.kind is RefusalKind.TICKET_OF_OTHER_INSTANCE
+    assert (refusal.run, refusal.go_to) == (RunState.UNKNOWN, ("a:1",))
+
+
+def test_ticket_of_a_gone_incarnation_is_unknown():
+    origin, peer = pair()
+    item = ticket(origin, "t")
+    peer.directory.heard(NEW)
+    assert send(peer, item).unwrap_err().kind is RefusalKind.TICKET_INSTANCE_GONE
+    restarted = Records("a", 2, SECRET)
+    assert send(restarted, item).unwrap_err().run is RunState.UNKNOWN
+
+
+def test_sealed_and_ended_tickets_are_answered_by_the_receiver():
+    origin, peer = pair()
+    used, unused = ticket(origin, "used"), ticket(origin, "unused")
+    finish(origin, send(origin, used).unwrap().record_id, Answered(201, (), b"x"), 1.0)
+    assert has_open_tickets(origin, 1.0)
+    assert seal_unused(origin, 1.0) == 1
+    assert not has_open_tickets(origin, 1.0)
+    move(origin, peer)
+    assert send(peer, used).unwrap() == Recorded(Answered(201, (), b"x"))
+    assert send(peer, used, "other").unwrap_err().run is RunState.UNKNOWN
+    assert send(peer, unused).unwrap() == Recorded(NotRun(RefusalKind.NOT_READY))
+
+
+def test_running_and_unused_tickets_are_not_handed_over():
+    origin, peer = pair()
+    running, unused = ticket(origin, "running"), ticket(origin, "unused")
+    send(origin, running)
+    move(origin, peer)
+    for item in (running, unused):
+        assert send(peer, item).unwrap_err().run is RunState.UNKNOWN
+
+
+def test_outcome_of_another_incarnation_is_not_believed():
+    origin, peer = pair()
+    item = ticket(origin, "t")
+    seal_unused(origin, 1.0)
+    for effect in hand_over(origin, ("b",), 1.0):
+        receive(effect.message, peer, NEW, 1.0)
+    assert send(peer, item).unwrap_err().run is RunState.UNKNOWN
+
+
+def test_malformed_outcome_is_reported_and_the_rest_taken():
+    origin, peer = pair()
+    items = [ticket(origin, name) for name in ("bad", "good")]
+    seal_unused(origin, 1.0)
+    (effect,) = hand_over(origin, ("b",), 1.0)
+    bad, good = effect.message.records
+    message = FinalOutcomes((bad._replace(outcome=b"{"), good))
+    (record,) = receive(message, peer, OLD, 1.0)
+    assert (record.event.name, record.event.subject) == ("outcome-malformed", "bad")
+    assert send(peer, items[1]).is_ok()
+
+
+def test_handed_over_outcomes_are_dropped_in_time():
+    origin, peer = pair()
+    item = ticket(origin, "t")
+    seal_unused(origin, 1.0)
+    move(origin, peer)
+    tick(peer, 10_000.0)
+    assert send(peer, item).is_err()
