Keep the time until which enough peers are heard

Cause: a check by peers walked all instances at each request. Change: the time is worked out when an answer or a list comes in.

--- a/src/chervilpitch/accounts/evidence.py
+++ b/src/chervilpitch/accounts/evidence.py
@@ -10,7 +10,6 @@
 
 __all__ = ["Evidence", "check", "evidence"]
 
-ENOUGH_DIVISOR = 3
 MAX_GO_TO = 3
 
 
@@ -48,9 +47,9 @@
         return Evidence.PLATFORM
     if not state.others:
         return Evidence.SOLE_INSTANCE if state.has_list else Evidence.NONE
-    if _are_enough_heard(state, state.remote_peers, now_s):
+    if state.are_remote_heard(now_s):
         return Evidence.FLEET
-    if _are_enough_heard(state, state.region_peers, now_s):
+    if state.is_region_heard(now_s):
         return Evidence.REGION
     return Evidence.NONE
 
@@ -76,11 +75,6 @@
     return Ok(None)
 
 
-def _are_enough_heard(state: Freshness, peers: tuple[str, ...], now_s: float) -> bool:
-    heard = sum(state.is_peer_heard(name, now_s) for name in peers)
-    return heard > 0 and (heard + 1) * ENOUGH_DIVISOR >= len(peers) + 1
-
-
 def _go_to(state: Freshness) -> tuple[str, ...]:
     def distance(item: Instance):
         domain = state.instance.failure_domain
--- a/src/chervilpitch/accounts/freshness.py
+++ b/src/chervilpitch/accounts/freshness.py
@@ -18,6 +18,7 @@
 BEHIND_S = 3.0
 MAX_REGION_PEERS = 15
 MAX_REMOTE_PEERS = 9
+ENOUGH_DIVISOR = 3
 
 
 class _Heard(NamedTuple):
@@ -36,12 +37,14 @@
 
     def __init__(self, instance: Instance):
         self._instance = instance
-        self._instances: Mapping[str, Instance] = {instance.name: instance}
+        self._others: tuple[Instance, ...] = ()
         self._platform = _Heard(float("-inf"), float("-inf"))
         self._has_list = False
         self._peers: dict[str, _Heard] = {}
         self._region_peers: tuple[str, ...] = ()
         self._remote_peers: tuple[str, ...] = ()
+        self._region_until_s = float("-inf")
+        self._remote_until_s = float("-inf")
         self._revision = 0
         self._newest = 0
         self._behind_at_s = float("inf")
@@ -69,8 +72,7 @@
     @property
     def others(self) -> tuple[Instance, ...]:
         """All other instances known."""
-        name = self._instance.name
-        return tuple(item for key, item in self._instances.items() if key != name)
+        return self._others
 
     @property
     def region_peers(self) -> tuple[str, ...]:
@@ -86,10 +88,13 @@
         """Return whether the platform was read within the evidence time."""
         return now_s < self._platform.expires_at_s
 
-    def is_peer_heard(self, name: str, now_s: float) -> bool:
-        """Return whether a peer answered within the evidence time."""
-        heard = self._peers.get(name)
-        return heard is not None and now_s < heard.expires_at_s
+    def is_region_heard(self, now_s: float) -> bool:
+        """Return whether enough peers of the own region answered of late."""
+        return now_s < self._region_until_s
+
+    def are_remote_heard(self, now_s: float) -> bool:
+        """Return whether enough peers of other regions answered of late."""
+        return now_s < self._remote_until_s
 
     def is_behind(self, now_s: float) -> bool:
         """Return whether a newer revision has been missing for too long."""
@@ -103,6 +108,7 @@
         """Keep the latest answer of a peer."""
         heard = _heard(asked_at_s)
         self._peers[name] = max(heard, self._peers.get(name, heard))
+        self._count_peers()
 
     def note_revision(self, revision: int, now_s: float) -> None:
         """Note a revision that exists; start the time allowed to reach it."""
@@ -122,11 +128,13 @@
     def follow(self, instances: Mapping[str, Instance]) -> None:
         """Take the instances known; drop what was heard of others."""
         self._has_list = True
-        self._instances = {**instances, self._instance.name: self._instance}
+        own = self._instance.name
+        self._others = tuple(item for item in instances.values() if item.name != own)
         self._peers = {
             name: heard for name, heard in self._peers.items() if name in instances
         }
         self._choose_peers()
+        self._count_peers()
 
     def _choose_peers(self) -> None:
         region = region_of(self._instance.failure_domain)
@@ -138,6 +146,16 @@
         self._region_peers = rank(name, near)[:MAX_REGION_PEERS]
         self._remote_peers = rank(name, far)[:MAX_REMOTE_PEERS]
 
+    def _count_peers(self) -> None:
+        self._region_until_s = self._enough_until(self._region_peers)
+        self._remote_until_s = self._enough_until(self._remote_peers)
+
+    def _enough_until(self, peers: tuple[str, ...]) -> float:
+        heard = (self._peers[name] for name in peers if name in self._peers)
+        expiries = sorted((item.expires_at_s for item in heard), reverse=True)
+        needed = _peers_needed(len(peers))
+        return expiries[needed - 1] if len(expiries) >= needed else float("-inf")
+
 
 def platform_heard(
     state: Freshness, revision: int, asked_at_s: float, now_s: float
@@ -250,3 +268,8 @@
 
 def _heard(asked_at_s: float) -> _Heard:
     return _Heard(asked_at_s, asked_at_s + EVIDENCE_S)
+
+
+def _peers_needed(asked: int) -> int:
+    with_self = -(-(asked + 1) // ENOUGH_DIVISOR)
+    return max(1, with_self - 1)
