Account for the bytes of recorded answers without a body

Cause: an answer recorded with headers and no body took no bytes but gave them back, so the count went below zero and the bound grew. Change: such an answer keeps its status only; an empty body needs no room. Conclusion: what is taken and given back is equal over random outcomes.

--- a/src/chervilpitch/requests/directory.py
+++ b/src/chervilpitch/requests/directory.py
@@ -119,10 +119,10 @@
             self._bytes.give_back(held.record.account, held_bytes(held.outcome))
 
     def _within_bounds(self, account: str, outcome: Outcome) -> Outcome:
-        size = held_bytes(outcome)
-        if not size or self._bytes.take(account, size):
+        if not isinstance(outcome, Answered):
+            return outcome
+        if self._bytes.take(account, held_bytes(outcome)):
             return outcome
-        assert isinstance(outcome, Answered)
         return without_body(outcome)
 
     def _refusal(self, ticket: Ticket) -> Refusal:
--- a/src/chervilpitch/requests/quota.py
+++ b/src/chervilpitch/requests/quota.py
@@ -48,6 +48,8 @@
 
     def take(self, account: str, units: int) -> bool:
         """Take units for an account; return whether they were free for it."""
+        if not units:
+            return True
         held = self._held[account] + units
         free = self._capacity - self._used - units
         if free < 0 or held > max(free, 1):
--- a/src/chervilpitch/requests/records.py
+++ b/src/chervilpitch/requests/records.py
@@ -185,12 +185,14 @@
         return before - len(self._by_id)
 
     def _within_bounds(self, account: str, outcome: Outcome) -> Outcome:
-        if not isinstance(outcome, Answered) or outcome.body is None:
+        if not isinstance(outcome, Answered):
             return outcome
-        size = held_bytes(outcome)
-        if size <= MAX_BODY_BYTES and self._bytes.take(account, size):
-            return outcome
-        return without_body(outcome)
+        if outcome.body is None or not self._take_bytes(account, held_bytes(outcome)):
+            return without_body(outcome)
+        return outcome
+
+    def _take_bytes(self, account: str, size: int) -> bool:
+        return size <= MAX_BODY_BYTES and self._bytes.take(account, size)
 
     def _forget_or_defer(self, record: TicketRecord, now_s: float) -> None:
         if record.phase is Phase.RUNNING:
--- a/tests/requests/test_records.py
+++ b/tests/requests/test_records.py
@@ -145,6 +145,24 @@
     assert state.held_bytes == 0
 
 
+_HEADERS = st.sampled_from(((), (("etag", "7"),)))
+_BODIES = st.none() | st.binary(max_size=9)
+_OUTCOMES = st.builds(Answered, st.just(201), _HEADERS, _BODIES) | st.just(SHED)
+
+
+@given(st.lists(_OUTCOMES, max_size=20))
+def test_forgetting_gives_back_just_what_was_taken(outcomes):
+    state = records(max_held_bytes=60)
+    for number, outcome in enumerate(outcomes):
+        item = ended(state, ticket(state, f"t{number}"), outcome)
+        held = send(state, item).unwrap().outcome
+        if outcome == Answered(201, (), b""):
+            assert held == outcome
+        assert 0 <= state.held_bytes <= 60
+    tick(state, LIFE_S + KEEP_S)
+    assert (len(state), state.held_bytes) == (0, 0)
+
+
 @given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 9), st.booleans())))
 def test_quota_never_exceeds_capacity_and_serves_an_idle_account(steps):
     quota, taken = Quota(30), []
