Report changes of key evidence; give a fresh ticket with a not-run repeat

Cause: operators could not see when service rests on peers alone, and a repeat that reads not-run had to ask for its next ticket separately. Change: accounts.tick puts a change on the time line; replay takes a ticket.

--- a/src/chervilpitch/accounts/__init__.py
+++ b/src/chervilpitch/accounts/__init__.py
@@ -1,6 +1,6 @@
 """Client accounts and their keys."""
 
-from .evidence import Evidence, check, evidence
+from .evidence import Evidence, check, evidence, tick
 from .freshness import (
     Freshness,
     follow_instances,
@@ -25,4 +25,5 @@
     "peer_heard",
     "platform_heard",
     "put_in_force",
+    "tick",
 ]
--- a/src/chervilpitch/accounts/evidence.py
+++ b/src/chervilpitch/accounts/evidence.py
@@ -4,11 +4,20 @@
 
 from result import Err, Ok, Result
 
-from chervilpitch.model import Instance, Refusal, RefusalKind, RunState, region_of
+from chervilpitch.model import (
+    Effect,
+    Event,
+    Instance,
+    Record,
+    Refusal,
+    RefusalKind,
+    RunState,
+    region_of,
+)
 
 from .freshness import Freshness
 
-__all__ = ["Evidence", "check", "evidence"]
+__all__ = ["Evidence", "check", "evidence", "tick"]
 
 MAX_GO_TO = 3
 
@@ -75,6 +84,29 @@
     return Ok(None)
 
 
+def tick(state: Freshness, now_s: float) -> tuple[Effect, ...]:
+    """Report a change of the evidence.
+
+    Parameters
+    ----------
+    state : Freshness
+        The evidence; changed.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        An event when the evidence is another than at the last call.
+    """
+    found = evidence(state, now_s).value
+    if found == state.reported:
+        return ()
+    state.report(found)
+    event = Event("accounts", "key-evidence-changed", state.instance.name, found)
+    return (Record(event),)
+
+
 def _go_to(state: Freshness) -> tuple[str, ...]:
     def distance(item: Instance):
         domain = state.instance.failure_domain
--- a/src/chervilpitch/accounts/freshness.py
+++ b/src/chervilpitch/accounts/freshness.py
@@ -48,6 +48,16 @@
         self._revision = 0
         self._newest = 0
         self._behind_at_s = float("inf")
+        self._reported = ""
+
+    @property
+    def reported(self) -> str:
+        """Evidence last put on the time line."""
+        return self._reported
+
+    def report(self, evidence: str) -> None:
+        """Note the evidence put on the time line."""
+        self._reported = evidence
 
     @property
     def revision(self) -> int:
--- a/src/chervilpitch/requests/answers.py
+++ b/src/chervilpitch/requests/answers.py
@@ -158,7 +158,7 @@
 
 
 @singledispatch
-def replay(outcome, now_s: float) -> Reply:
+def replay(outcome, now_s: float, ticket: str = "") -> Reply:
     """Return the HTTP answer of a recorded outcome.
 
     Parameters
@@ -167,6 +167,8 @@
         The final outcome.
     now_s : float
         Monotonic time in seconds.
+    ticket : str
+        Text of a fresh ticket, given only with an outcome that did not run.
 
     Returns
     -------
@@ -177,7 +179,7 @@
 
 
 @replay.register
-def _(outcome: Answered, now_s: float) -> Reply:
+def _(outcome: Answered, now_s: float, ticket: str = "") -> Reply:
     if outcome.body is None:
         kind = RefusalKind.OUTCOME_NOT_HELD
         return refusal_reply(Refusal(kind, RunState.RUN), now_s)
@@ -186,12 +188,12 @@
 
 
 @replay.register
-def _(outcome: NotRun, now_s: float) -> Reply:
-    return refusal_reply(Refusal(outcome.kind, RunState.NOT_RUN), now_s)
+def _(outcome: NotRun, now_s: float, ticket: str = "") -> Reply:
+    return refusal_reply(Refusal(outcome.kind, RunState.NOT_RUN), now_s, ticket)
 
 
 @replay.register
-def _(outcome: Unknown, now_s: float) -> Reply:
+def _(outcome: Unknown, now_s: float, ticket: str = "") -> Reply:
     return refusal_reply(Refusal(outcome.kind, RunState.UNKNOWN), now_s)
 
 
--- a/tests/accounts/test_freshness.py
+++ b/tests/accounts/test_freshness.py
@@ -13,6 +13,7 @@
     peer_heard,
     platform_heard,
     put_in_force,
+    tick,
 )
 from chervilpitch.accounts.freshness import BEHIND_S, EVIDENCE_S
 from chervilpitch.accounts.naive import naive_check
@@ -131,6 +132,18 @@
     assert check(state, BEHIND_S).is_ok()
 
 
+def test_change_of_evidence_is_reported_once():
+    state = start(fleet())
+    platform_heard(state, 7, 0.0, 0.0)
+    shown = [tick(state, at_s) for at_s in (0.0, 1.0, EVIDENCE_S, EVIDENCE_S + 1)]
+    assert [[r.event.detail for r in records] for records in shown] == [
+        ["platform"],
+        [],
+        ["none"],
+        [],
+    ]
+
+
 def test_single_instance_fleet_goes_on_without_the_platform():
     instances = {"a": Instance("a", 0, "r/d", "a:1", "a:2")}
     assert evidence(start(instances, "a"), 9_000.0) is Evidence.SOLE_INSTANCE
--- a/tests/requests/test_answers.py
+++ b/tests/requests/test_answers.py
@@ -58,8 +58,10 @@
     ],
 )
 def test_other_outcomes_are_refusals_with_their_run_state(outcome, kind, run):
-    body = json.loads(replay(outcome, 0.0).body)
+    reply = replay(outcome, 0.0, "ticket")
+    body = json.loads(reply.body)
     assert (body["type"], body["run"]) == (kind, run)
+    assert ("Chervilpitch-Ticket" in dict(reply.headers)) == (run == "not-run")
 
 
 def test_refusal_before_the_ticket_is_looked_up_claims_nothing():
