--- a/src/chervilpitch/accounts/__init__.py
+++ b/src/chervilpitch/accounts/__init__.py
@@ -1,7 +1,7 @@
 """Client accounts and their keys."""
 
 from .concurrency import InProgress
-from .evidence import Evidence, check, evidence
+from .evidence import Evidence, check, evidence, tick
 from .freshness import (
     Freshness,
     follow_instances,
@@ -32,4 +32,5 @@
     "peer_heard",
     "platform_heard",
     "put_in_force",
+    "tick",
 ]
--- a/src/chervilpitch/accounts/evidence.py
+++ b/src/chervilpitch/accounts/evidence.py
@@ -4,13 +4,21 @@
 
 from result import Err, Ok, Result
 
-from chervilpitch.model import Instance, Refusal, RefusalKind, RunState, region_of
+from chervilpitch.model import (
+    Effect,
+    Event,
+    Instance,
+    Record,
+    Refusal,
+    RefusalKind,
+    RunState,
+    region_of,
+)
 
 from .freshness import Freshness
 
-__all__ = ["Evidence", "check", "evidence"]
+__all__ = ["Evidence", "check", "evidence", "tick"]
 
-ENOUGH_DIVISOR = 3
 MAX_GO_TO = 3
 
 
@@ -48,9 +56,9 @@
         return Evidence.PLATFORM
     if not state.others:
         return Evidence.SOLE_INSTANCE if state.has_list else Evidence.NONE
-    if _are_enough_heard(state, state.remote_peers, now_s):
+    if state.are_remote_heard(now_s):
         return Evidence.FLEET
-    if _are_enough_heard(state, state.region_peers, now_s):
+    if state.is_region_heard(now_s):
         return Evidence.REGION
     return Evidence.NONE
 
@@ -76,9 +84,27 @@
     return Ok(None)
 
 
-def _are_enough_heard(state: Freshness, peers: tuple[str, ...], now_s: float) -> bool:
-    heard = sum(state.is_peer_heard(name, now_s) for name in peers)
-    return heard > 0 and (heard + 1) * ENOUGH_DIVISOR >= len(peers) + 1
+def tick(state: Freshness, now_s: float) -> tuple[Effect, ...]:
+    """Report a change of the evidence.
+
+    Parameters
+    ----------
+    state : Freshness
+        The evidence; changed.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    tuple of Effect
+        An event when the evidence is another than at the last call.
+    """
+    found = evidence(state, now_s).value
+    if found == state.reported:
+        return ()
+    state.report(found)
+    event = Event("accounts", "key-evidence-changed", state.instance.name, found)
+    return (Record(event),)
 
 
 def _go_to(state: Freshness) -> tuple[str, ...]:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,7 +4,8 @@
 its version in ``X-Version``; ``?after=VERSION&wait=SECONDS`` waits until the
 version differs. ``GET /calls`` tells how many calls came. The file ``.mode`` in
 the directory makes it fail: ``absent`` answers nothing but errors,
-``notes-absent`` has the list only, ``slow`` waits two seconds, ``stale`` goes on answering what it saw before.
+``notes-absent`` has the list only, ``slow`` waits two seconds, ``stale`` goes on
+answering what it saw before.
 """
 
 import argparse
