Start the evidence anew when a service changes as a whole

Change: when upstreams of other failure domains do as badly, the scores and the baseline of the service start anew; evidence without requests expires; suspects are judged on every tick; a third try goes to another region.

--- a/src/chervilpitch/health/baseline.py
+++ b/src/chervilpitch/health/baseline.py
@@ -154,6 +154,18 @@
             if not kept:
                 del self._samples[key]
 
+    def restart(self, is_restarted: Callable[[tuple], bool]) -> None:
+        """Drop all samples of some classes of request.
+
+        Parameters
+        ----------
+        is_restarted : callable
+            Tells whether the samples of a class are dropped.
+        """
+        self._cache.clear()
+        kept = {k: row for k, row in self._samples.items() if not is_restarted(k)}
+        self._samples = kept
+
 
 def _summarize(others):
     middles = [median(logs) for logs in others]
--- a/src/chervilpitch/health/detector.py
+++ b/src/chervilpitch/health/detector.py
@@ -146,11 +146,14 @@
     now_s = state.advance(now_s)
     state.mark_tick(now_s)
     busy = {exchange.upstream for exchange in state.exchanges.values()}
-    in_use = sorted(busy & state.upstreams.keys())
-    effects = ejection.judge(state, in_use, now_s)
     for name, record in list(state.upstreams.items()):
         if now_s >= record.forgiven_at_s:
             _forgive(state, name, now_s)
+        if max(record.scores) > 0:
+            busy.add(name)
+            ejection.drop_stale(state, name, now_s)
+    in_use = sorted(busy & state.upstreams.keys())
+    effects = ejection.judge(state, in_use, now_s)
     return effects
 
 
--- a/src/chervilpitch/health/ejection.py
+++ b/src/chervilpitch/health/ejection.py
@@ -5,7 +5,7 @@
 
 from chervilpitch.model import Event, Record
 
-from .evidence import doubt, has_sound_peers
+from .evidence import doubt, has_sound_peers, is_common
 from .scores import EJECT_SCORE, NO_SCORES
 from .state import NEVER_S, HealthState
 
@@ -13,6 +13,7 @@
     "FLOOR_SHARE",
     "available",
     "capacity",
+    "drop_stale",
     "extend",
     "is_eligible",
     "judge",
@@ -28,6 +29,7 @@
 FORGIVE_S = 120.0
 RAMP_S = 10.0
 RAMP_START = 0.1
+EVIDENCE_LIFE_S = 15.0
 TRIAL_SCORE = 0.6 * EJECT_SCORE
 ROUNDING_SLOTS = 1e-9
 
@@ -124,20 +126,33 @@
     tuple of Record
         Events for the time line.
     """
-    failing = []
-    for name in names:
-        if not is_eligible(state, name, now_s):
-            continue
-        score = doubt(state, name, now_s)
-        if score < _limit(state, name, now_s):
-            continue
-        if has_sound_peers(state, name, now_s):
-            failing.append((-score, name))
-    return tuple(
-        effect
-        for score, name in sorted(failing)
-        for effect in _eject(state, name, -score, now_s)
-    )
+    suspects = [
+        name
+        for name in names
+        if is_eligible(state, name, now_s)
+        and doubt(state, name, now_s) >= _limit(state, name, now_s)
+    ]
+    suspects.sort(key=lambda name: (-doubt(state, name, now_s), name))
+    return tuple(effect for name in suspects for effect in _decide(state, name, now_s))
+
+
+def drop_stale(state: HealthState, name: str, now_s: float) -> None:
+    """Drop the evidence against an upstream that has had no request for long.
+
+    Parameters
+    ----------
+    state : HealthState
+        Changed in place.
+    name : str
+        Name of the upstream.
+    now_s : float
+        Monotonic time in seconds.
+    """
+    record = state.upstreams[name]
+    last_at_s = max(record.seen_at_s, default=NEVER_S)
+    if state.in_flight(name) or now_s - last_at_s < EVIDENCE_LIFE_S:
+        return
+    state.replace(name, scores=NO_SCORES, suspect_from_at_s=math.inf)
 
 
 def readmit(
@@ -241,6 +256,25 @@
     return key
 
 
+def _decide(state, name, now_s):
+    score = doubt(state, name, now_s)
+    if score < _limit(state, name, now_s):
+        return ()
+    if has_sound_peers(state, name, now_s):
+        return _eject(state, name, score, now_s)
+    if is_common(state, name, now_s):
+        return _start_anew(state, state.upstreams[name].upstream.service)
+    return ()
+
+
+def _start_anew(state, service):
+    """Drop the evidence on a service that has changed as a whole."""
+    for name in state.services[service]:
+        state.replace(name, scores=NO_SCORES, suspect_from_at_s=math.inf)
+    state.latencies.restart(lambda key: key[1] == service)
+    return (Record(Event("health", "service-slow", service)),)
+
+
 def _eject(state, name, score, now_s):
     service = state.upstreams[name].upstream.service
     freed = _slots(state, name) * ramp(state, name, now_s)
--- a/src/chervilpitch/health/evidence.py
+++ b/src/chervilpitch/health/evidence.py
@@ -19,7 +19,7 @@
 from .scores import EJECT_SCORE, add_error, add_latency, add_success, latency_ratio
 from .state import Exchange, HealthState
 
-__all__ = ["absorb", "doubt", "has_sound_peers", "is_silent", "pending"]
+__all__ = ["absorb", "doubt", "has_sound_peers", "is_common", "is_silent", "pending"]
 
 MIN_LATENCY_S = 0.0005
 RECENT_S = 3.0
@@ -27,6 +27,7 @@
 WITNESS_ANSWERS = 3
 SOUND_SCORE = EJECT_SCORE / 4
 SOUND_SHARE = 0.5
+COMMON_WITNESSES = 2
 STALL_EVIDENCE = 7.0
 REUSED_EVIDENCE_SHARE = 0.5
 BODY_SILENCE_S = 2.0
@@ -196,14 +197,45 @@
     bool
         False when the whole service is slow or failing.
     """
-    from_at_s = _suspect_from_at_s(state, name, now_s)
+    doubts = [doubt(state, other, now_s) for other in _witnesses(state, name, now_s)]
+    sound = sum(value < SOUND_SCORE for value in doubts)
+    return sound > 0 and sound >= SOUND_SHARE * len(doubts)
+
+
+def is_common(state: HealthState, name: str, now_s: float) -> bool:
+    """Return whether upstreams of other failure domains do as badly.
+
+    Parameters
+    ----------
+    state : HealthState
+        Not changed.
+    name : str
+        Name of the upstream.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    bool
+        True when the service as a whole has become slow or failing.
+    """
+    domain = state.upstreams[name].upstream.failure_domain
     doubts = [
         doubt(state, other, now_s)
+        for other in _witnesses(state, name, now_s)
+        if state.upstreams[other].upstream.failure_domain != domain
+    ]
+    failing = sum(value >= SOUND_SCORE for value in doubts)
+    return failing >= COMMON_WITNESSES and failing > SOUND_SHARE * len(doubts)
+
+
+def _witnesses(state, name, now_s):
+    from_at_s = _suspect_from_at_s(state, name, now_s)
+    return [
+        other
         for other in state.peers_of(name)
         if _has_answered_since(state, other, from_at_s)
     ]
-    sound = sum(value < SOUND_SCORE for value in doubts)
-    return sound > 0 and sound >= SOUND_SHARE * len(doubts)
 
 
 def _suspect_from_at_s(state, name, now_s):
--- a/src/chervilpitch/routing/choice.py
+++ b/src/chervilpitch/routing/choice.py
@@ -29,6 +29,7 @@
 
 SOUND_WEIGHT = 0.5
 OWN_DOMAIN_MIN = 3
+NEAR_TRIES = 2
 EXPLORE_SHARE = 1 / 32
 FAR_EXPLORE_SHARE = 1 / 8
 RETRY_GAP_S = 0.1
@@ -110,7 +111,7 @@
     free = [name for name in untried if _has_room(state, name, now_s)]
     if not free:
         return Err(_no_slot(state, untried, now_s))
-    ring = _pick_ring(state, free, now_s)
+    ring = _pick_ring(state, free, len(failed_already), now_s)
     weights = {name: health.weight(state.health, name, now_s) for name in ring}
     name = _less_loaded(state, weights)
     held = _take(state, name, route.name)
@@ -227,8 +228,10 @@
     return Refusal(RefusalKind.NO_SLOT, RunState.NOT_RUN, retry_at_s=retry_at_s)
 
 
-def _pick_ring(state, names, now_s):
+def _pick_ring(state, names, failures, now_s):
     own, region, far = _rings(state, names)
+    if far and failures >= NEAR_TRIES:
+        return far
     if len(own) >= OWN_DOMAIN_MIN and _is_sound(state, own, now_s):
         explores = region and state.rng.random() < EXPLORE_SHARE
         return region if explores else own
