Test the floor and the detector

Cause: the floor must hold after every event, also when targets are withdrawn or drain, and be shown to fail for the naive detector.

Change: a property test runs random events and clock steps against an oracle of the floor; the same oracle fails the naive detector in two schedules. Found and mended on the way: an ejected upstream that was seen draining could come back as ejected, below the floor, when that sight expired; taking the network time off the others' latencies made near upstreams look slow when that time was wrong.

--- a/src/chervilpitch/health/detector.py
+++ b/src/chervilpitch/health/detector.py
@@ -212,7 +212,9 @@
     record = state.upstreams[name]
     if isinstance(observation, DrainingSeen):
         absorb(observation, state, name, None, now_s)
-        return ejection.restore_floor(state, record.upstream.service, now_s)
+        effects = ejection.readmit(state, name, now_s, ramp_ends_at_s=now_s)
+        service = record.upstream.service
+        return effects + ejection.restore_floor(state, service, now_s)
     if now_s < record.ejected_until_at_s:
         return ()
     if isinstance(observation, ProbeFailed):
--- a/src/chervilpitch/health/evidence.py
+++ b/src/chervilpitch/health/evidence.py
@@ -24,6 +24,8 @@
 MIN_LATENCY_S = 0.0005
 RECENT_S = 3.0
 OUTCOMES = 24
+RECENT_OUTCOMES = 8
+ERROR_CONTRAST = 3.0
 WITNESS_ANSWERS = 3
 SOUND_SCORE = EJECT_SCORE / 4
 SOUND_SHARE = 0.5
@@ -32,6 +34,7 @@
 REUSED_EVIDENCE_SHARE = 0.5
 BODY_SILENCE_S = 2.0
 PACED_BODY_BYTES = 65_536
+MEGABYTE = 1_000_000
 PROBE_EVIDENCE = 1.0
 PROBE_SCORE_CAP = EJECT_SCORE / 2
 DRAINING_HOLD_S = 60.0
@@ -197,6 +200,8 @@
     bool
         False when the whole service is slow or failing.
     """
+    if _fails_by_errors(state, name) and not _errs_more(state, name, now_s):
+        return False
     doubts = [doubt(state, other, now_s) for other in _witnesses(state, name, now_s)]
     sound = sum(value < SOUND_SCORE for value in doubts)
     return sound > 0 and sound >= SOUND_SHARE * len(doubts)
@@ -229,6 +234,17 @@
     return failing >= COMMON_WITNESSES and failing > SOUND_SHARE * len(doubts)
 
 
+def _fails_by_errors(state, name):
+    scores = state.upstreams[name].scores
+    return max(scores.frequent_errors, scores.occasional_errors) > scores.latency
+
+
+def _errs_more(state, name, now_s):
+    outcomes = state.upstreams[name].outcomes
+    rate = sum(outcomes) / max(1, len(outcomes))
+    return rate >= ERROR_CONTRAST * _usual_error_rate(state, name, now_s)
+
+
 def _witnesses(state, name, now_s):
     from_at_s = _suspect_from_at_s(state, name, now_s)
     return [
@@ -263,42 +279,46 @@
 
 
 def _first_byte_ratio(state, name, exchange, answered, now_s):
-    spent_s = max(MIN_LATENCY_S, answered.latency_s - state.network_s(name))
     key = ("first", state.upstreams[name].upstream.service)
     key += _class_of(exchange, answered.request_bytes)
-    return _ratio_and_add(state, key, name, spent_s, now_s)
+    ratio = _ratio(state, key, name, answered.latency_s, now_s)
+    taken_s = max(MIN_LATENCY_S, answered.latency_s)
+    state.latencies.add(key, name, taken_s, now_s)
+    return ratio
 
 
 def _pace_ratio(state, name, exchange, answered, now_s):
     if answered.body_bytes < PACED_BODY_BYTES:
         return None
     body_s = max(MIN_LATENCY_S, answered.duration_s - answered.latency_s)
+    megabyte_s = body_s / answered.body_bytes * MEGABYTE
     key = ("pace", state.upstreams[name].upstream.service)
     key += _class_of(exchange, answered.request_bytes)
-    return _ratio_and_add(state, key, name, body_s / answered.body_bytes, now_s)
+    ratio = _ratio(state, key, name, megabyte_s, now_s)
+    state.latencies.add(key, name, megabyte_s, now_s)
+    return ratio
 
 
-def _ratio_and_add(state, key, name, value_s, now_s):
+def _ratio(state, key, name, spent_s, now_s):
+    """Compare with the others, whose time on the network is not taken off.
+
+    A wrong idea of the network then only hides a little slowness.
+    """
     baseline = state.latencies.without(key, name, now_s)
-    state.latencies.add(key, name, value_s, now_s)
     if baseline is None:
         return None
-    return latency_ratio(math.log(value_s) - baseline.median, baseline.spread)
+    own_s = max(MIN_LATENCY_S, spent_s - state.network_s(name))
+    return latency_ratio(math.log(own_s) - baseline.median, baseline.spread)
 
 
 def _pending_ratio(state, name, exchange, now_s):
     silent_from_at_s = max(exchange.silent_from_at_s, state.resumed_at_s)
-    silent_s = now_s - silent_from_at_s - state.network_s(name)
-    if silent_s < MIN_LATENCY_S:
-        return 0.0
+    silent_s = now_s - silent_from_at_s
     if exchange.is_answering:
         return STALL_EVIDENCE if silent_s > BODY_SILENCE_S else 0.0
     key = ("first", state.upstreams[name].upstream.service)
     key += _class_of(exchange, exchange.request_bytes)
-    baseline = state.latencies.without(key, name, now_s)
-    if baseline is None:
-        return 0.0
-    ratio = latency_ratio(math.log(silent_s) - baseline.median, baseline.spread)
+    ratio = _ratio(state, key, name, silent_s, now_s) or 0.0
     share = REUSED_EVIDENCE_SHARE if exchange.is_reused else 1.0
     return max(0.0, ratio) * share
 
@@ -330,7 +350,7 @@
 def _usual_error_rate(state, name, now_s):
     """Return the error rate of the others, without the worst of them."""
     others = [
-        state.upstreams[other].outcomes
+        state.upstreams[other].outcomes[-RECENT_OUTCOMES:]
         for other in state.peers_of(name)
         if _is_recent(state, other, now_s)
     ]
--- /dev/null
+++ b/tests/health/builders.py
@@ -0,0 +1,49 @@
+"""Small catalogues and clocks for the tests of this package."""
+
+from chervilpitch.health import Answered, HealthState, observe, put_in_force, tick
+from chervilpitch.model import EMPTY_CATALOGUE, Upstream
+
+DOMAINS = ("north/a", "north/b", "south/a", "south/b")
+USUAL_S = 0.04
+
+
+def upstream(number, slots=4, draining=False):
+    name = f"u{number:02}"
+    domain = DOMAINS[number % len(DOMAINS)]
+    return Upstream(name, "desk", f"10.0.0.1:{number}", domain, slots, 330, draining)
+
+
+def catalogue(upstreams):
+    return EMPTY_CATALOGUE._replace(upstreams={u.name: u for u in upstreams})
+
+
+def answered(latency_s=USUAL_S):
+    return Answered(latency_s, 1_000, latency_s, 2)
+
+
+def new_state(count=8):
+    state = HealthState("north/a")
+    put_in_force(state, catalogue(upstream(i) for i in range(count)), 0.0)
+    return state
+
+
+def serve(state, now_s, rounds, observation_of):
+    """Give every upstream an observation ten times a second; return the events."""
+    events = []
+    for _ in range(rounds):
+        now_s += 0.1
+        events += tick(state, now_s)
+        for name in list(state.upstreams):
+            events += observe(state, name, observation_of(name), now_s)
+    return now_s, [effect.event for effect in events]
+
+
+def warm_state(count=8):
+    state = new_state(count)
+    now_s, _ = serve(state, 0.0, 30, lambda name: answered())
+    return state, now_s
+
+
+def ejected(state):
+    records = state.upstreams
+    return {name for name in records if records[name].ejected_until_at_s is not None}
--- /dev/null
+++ b/tests/health/test_detector.py
@@ -0,0 +1,234 @@
+"""What is ejected, what is not, and how it comes back."""
+
+import pytest
+
+from chervilpitch import health
+from chervilpitch.health.ejection import FIRST_EJECTION_S, RAMP_S
+from chervilpitch.model import Sender
+from tests.health.builders import (
+    answered,
+    catalogue,
+    ejected,
+    new_state,
+    serve,
+    upstream,
+    warm_state,
+)
+
+FAILING = {
+    "slow x3": answered(0.12),
+    "slow x10": answered(0.4),
+    "errors": health.ErrorAnswer(503),
+    "half-answers": health.Truncated(),
+    "no connection": health.ConnectFailed(),
+    "stalls": health.Stalled(5.0),
+}
+
+
+def fail_one(observation):
+    return lambda name: observation if name == "u00" else answered()
+
+
+def names_of(events):
+    return [event.name for event in events]
+
+
+def eject_u00(state, now_s):
+    now_s, _ = serve(state, now_s, 20, fail_one(health.Truncated()))
+    assert ejected(state) == {"u00"}
+    return now_s
+
+
+@pytest.mark.parametrize("observation", FAILING.values(), ids=FAILING)
+def test_one_failing_upstream_is_ejected_alone(observation):
+    state, now_s = warm_state()
+    serve(state, now_s, 20, fail_one(observation))
+    assert ejected(state) == {"u00"}
+
+
+@pytest.mark.parametrize("observation", FAILING.values(), ids=FAILING)
+def test_nobody_is_ejected_when_all_fail_alike(observation):
+    state, now_s = warm_state()
+    serve(state, now_s, 50, lambda name: observation)
+    assert not ejected(state)
+
+
+def test_overdue_exchanges_count_before_they_end():
+    state, now_s = warm_state()
+    for number in range(4):
+        health.started(state, "u00", number, now_s)
+    serve(
+        state,
+        now_s,
+        10,
+        lambda name: health.Abandoned() if name == "u00" else answered(),
+    )
+    assert ejected(state) == {"u00"}
+
+
+def test_a_slow_caller_is_no_fault_of_the_upstream():
+    state, now_s = warm_state()
+    for number in range(4):
+        health.started(state, "u00", number, now_s)
+        health.progressed(state, number, now_s, is_waiting=False)
+    serve(state, now_s, 300, lambda name: answered())
+    assert not ejected(state)
+
+
+def test_a_silent_body_counts():
+    state, now_s = warm_state()
+    for number in range(4):
+        health.started(state, "u00", number, now_s)
+        health.progressed(state, number, now_s)
+    others = fail_one(health.Abandoned())
+    serve(state, now_s, 40, others)
+    assert ejected(state) == {"u00"}
+
+
+def test_big_requests_are_compared_with_big_requests():
+    state, now_s = warm_state()
+    big = health.Answered(1.0, 1_000, 1.0, 2, request_bytes=5_000_000)
+    serve(state, now_s, 30, fail_one(big))
+    assert not ejected(state)
+
+
+def test_a_pause_of_the_process_is_no_stall():
+    state, now_s = warm_state()
+    for number in range(4):
+        health.started(state, "u00", number, now_s)
+    woken_s = now_s + 60.0
+    health.tick(state, woken_s)
+    for number in range(4):
+        health.finished(state, number, answered(60.0), woken_s)
+    assert not ejected(state)
+
+
+def test_a_silent_reused_connection_asks_for_fresh_ones():
+    state, now_s = warm_state()
+    health.started(state, "u00", 1, now_s, is_reused=True)
+    assert health.silent_upstreams(state, now_s + 0.01) == ()
+    assert health.silent_upstreams(state, now_s + 0.3) == ("u00",)
+
+
+def test_failed_probes_alone_never_eject():
+    state, now_s = warm_state()
+    serve(state, now_s, 100, fail_one(health.ProbeFailed()))
+    assert not ejected(state)
+
+
+def test_answered_probes_do_not_hide_a_fault():
+    state, now_s = warm_state()
+    for _ in range(20):
+        now_s, _ = serve(state, now_s, 1, fail_one(health.Truncated()))
+        health.observe(state, "u00", health.ProbeAnswered(0.001), now_s)
+    assert ejected(state) == {"u00"}
+
+
+def test_shed_answers_never_eject():
+    state, now_s = warm_state()
+    serve(state, now_s, 100, fail_one(health.Shed()))
+    assert not ejected(state)
+
+
+def test_reports_of_peers_only_prompt_a_probe_and_lower_the_weight():
+    state, now_s = warm_state()
+    for _ in range(100):
+        report = health.HealthReport(("u00", "u01", "unknown"))
+        assert health.receive(state, report, Sender("peer", 1), now_s) == ()
+    assert not ejected(state)
+    assert 0 < health.weight(state, "u00", now_s) < 1
+    assert health.probes_due(state, now_s) == ("u00",)
+    assert health.weight(state, "u00", now_s + 11.0) == 1
+
+
+def test_an_ejection_is_reported_to_peers_at_a_bounded_rate():
+    state, now_s = warm_state()
+    assert health.report(state, now_s) is None
+    now_s = eject_u00(state, now_s)
+    assert health.report(state, now_s).ejected == ("u00",)
+    assert health.report(state, now_s + 0.5) is None
+
+
+def test_readmission_needs_a_probe_and_is_gradual():
+    state, now_s = warm_state()
+    now_s = eject_u00(state, now_s)
+    health.observe(state, "u00", health.ProbeAnswered(0.02), now_s)
+    assert ejected(state) == {"u00"}
+    now_s += FIRST_EJECTION_S
+    assert health.probes_due(state, now_s) == ("u00",)
+    health.observe(state, "u00", health.ProbeAnswered(0.02), now_s)
+    steps = [health.weight(state, "u00", now_s + RAMP_S * i / 4) for i in range(5)]
+    assert steps == sorted(steps)
+    assert steps[0] < 0.2 and steps[-1] == 1
+
+
+def test_a_failed_probe_keeps_the_ejection():
+    state, now_s = warm_state()
+    now_s = eject_u00(state, now_s) + FIRST_EJECTION_S
+    health.observe(state, "u00", health.ProbeFailed(), now_s)
+    assert ejected(state) == {"u00"}
+    assert health.probes_due(state, now_s) == ()
+
+
+def test_a_flapping_upstream_stays_out_longer_each_time():
+    state, now_s = warm_state()
+    lengths = []
+    for _ in range(3):
+        now_s = eject_u00(state, now_s)
+        until_at_s = state.upstreams["u00"].ejected_until_at_s
+        lengths.append(until_at_s - now_s)
+        now_s = until_at_s
+        health.observe(state, "u00", health.ProbeAnswered(0.02), now_s)
+    assert lengths[0] < lengths[1] < lengths[2]
+
+
+def test_probes_are_bounded():
+    state, now_s = warm_state()
+    report = health.HealthReport(tuple(state.upstreams))
+    health.receive(state, report, Sender("peer", 1), now_s)
+    probes = [health.probes_due(state, now_s + 0.01 * i) for i in range(100)]
+    assert sum(map(len, probes)) == 2
+
+
+def test_a_draining_upstream_gets_nothing_new_at_once():
+    state, now_s = warm_state()
+    health.observe(state, "u00", health.DrainingSeen(), now_s)
+    assert "u00" not in health.eligible(state, "desk", now_s)
+    assert health.weight(state, "u00", now_s) == 0
+
+
+def test_an_upstream_added_later_starts_with_a_small_share():
+    state, now_s = warm_state()
+    later = catalogue(upstream(i) for i in range(9))
+    health.put_in_force(state, later, now_s)
+    assert health.weight(state, "u08", now_s) < 0.2
+
+
+def test_the_health_of_an_upstream_survives_a_new_catalogue():
+    state, now_s = warm_state()
+    now_s = eject_u00(state, now_s)
+    health.put_in_force(state, catalogue(upstream(i) for i in range(8)), now_s)
+    assert ejected(state) == {"u00"}
+
+
+def test_a_clock_that_steps_back_changes_nothing():
+    state, now_s = warm_state()
+    eject_u00(state, now_s)
+    assert "u00" not in health.eligible(state, "desk", 0.0)
+
+
+def test_the_status_page_tells_the_states_apart():
+    state, now_s = warm_state()
+    now_s = eject_u00(state, now_s)
+    health.observe(state, "u01", health.DrainingSeen(), now_s)
+    rows = health.snapshot(state, now_s)
+    assert rows["u00"].state == "ejected"
+    assert rows["u01"].state == "draining"
+    assert rows["u02"].state == "healthy"
+
+
+def test_an_unknown_upstream_is_ignored():
+    state = new_state()
+    assert health.observe(state, "gone", answered(), 1.0) == ()
+    health.started(state, "gone", 1, 1.0)
+    assert health.finished(state, 1, answered(), 2.0) == ()
--- /dev/null
+++ b/tests/health/test_floor.py
@@ -0,0 +1,183 @@
+"""Ejection never takes healthy capacity below the floor, at any instant."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chervilpitch import health
+from chervilpitch.health import naive
+from chervilpitch.health.ejection import FLOOR_SHARE, ramp
+from chervilpitch.health.evidence import DRAINING_HOLD_S
+from tests.health.builders import answered, catalogue, upstream
+
+BAD = (
+    health.ErrorAnswer(500),
+    health.ConnectFailed(),
+    health.Truncated(),
+    health.Stalled(5.0),
+    answered(4.0),
+    health.ProbeFailed(),
+)
+GOOD = (answered(), answered(0.05), health.ProbeAnswered(0.02), health.Shed())
+OBSERVATIONS = st.sampled_from((*BAD, *GOOD, health.DrainingSeen()))
+LONG_STEPS_S = st.sampled_from((6.0, 61.0, 3_600.0, -5.0, -600.0))
+SHORT_STEPS_S = st.sampled_from((0.0, 0.01, 0.1, 1.0))
+STEPS_S = st.one_of(SHORT_STEPS_S, LONG_STEPS_S)
+NUMBERS = st.integers(0, 9)
+UPSTREAMS = st.builds(
+    upstream, st.integers(0, 9), st.sampled_from((1, 3, 4, 16)), st.booleans()
+)
+DECLARATIONS = st.lists(UPSTREAMS, max_size=12)
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("observe"), STEPS_S, NUMBERS, OBSERVATIONS),
+        *[st.tuples(st.just("fail"), SHORT_STEPS_S, NUMBERS, st.sampled_from(BAD))] * 4,
+        st.tuples(st.just("serve"), STEPS_S, NUMBERS, st.none()),
+        st.tuples(st.just("declare"), STEPS_S, DECLARATIONS, st.none()),
+        st.tuples(st.just("start"), STEPS_S, NUMBERS, st.none()),
+        st.tuples(st.just("tick"), STEPS_S, st.none(), st.none()),
+    ),
+    min_size=5,
+    max_size=60,
+)
+
+
+class Ours:
+    """The detector of this project behind the interface of the oracle."""
+
+    def __init__(self):
+        self.state = health.HealthState("north/a")
+        self.put_in_force = lambda c, t: health.put_in_force(self.state, c, t)
+        self.observe = lambda n, o, t: health.observe(self.state, n, o, t)
+        self.tick = lambda t: health.tick(self.state, t)
+        self.eligible = lambda t: health.eligible(self.state, "desk", t)
+        self.share = lambda n, t: ramp(self.state, n, t)
+
+    def start(self, name, number, now_s):
+        health.started(self.state, name, number, now_s)
+
+
+class Naive:
+    """The naive detector behind the same interface."""
+
+    def __init__(self):
+        self.state = naive.NaiveHealth()
+        self.put_in_force = lambda c, t: naive.put_in_force(self.state, c, t)
+        self.observe = lambda n, o, t: naive.observe(self.state, n, o, t)
+        self.tick = lambda t: None
+        self.eligible = lambda t: naive.eligible(self.state, "desk", t)
+        self.share = lambda n, t: 1.0
+        self.start = lambda name, number, now_s: None
+
+
+class Oracle:
+    """Run events and compare the capacity in use with the floor after each."""
+
+    def __init__(self, detector):
+        self.detector = detector
+        self.now_s = self.latest_s = 0.0
+        self.draining_until_at_s = {}
+        self.declare([upstream(i) for i in range(8)])
+
+    def declare(self, upstreams):
+        in_force = catalogue(upstreams)
+        self.declared = in_force.upstreams
+        kept = self.draining_until_at_s.items()
+        self.draining_until_at_s = {n: t for n, t in kept if n in self.declared}
+        self.detector.put_in_force(in_force, self.now_s)
+
+    def run(self, events):
+        for number, (kind, step_s, target, seen) in enumerate(events):
+            self.now_s = max(0.0, self.now_s + step_s)
+            self.latest_s = max(self.latest_s, self.now_s)
+            self.act(kind, target, seen, number)
+            self.check(self.latest_s)
+            self.check(self.latest_s + 0.3)
+            self.check(self.latest_s + DRAINING_HOLD_S)
+
+    def act(self, kind, target, seen, number):
+        if kind == "observe":
+            self.observe(f"u{target:02}", seen)
+        elif kind == "fail":
+            self.fail(f"u{target:02}", seen)
+        elif kind == "serve":
+            for name in sorted(self.declared):
+                self.observe(name, answered())
+        elif kind == "declare":
+            self.declare(target)
+        elif kind == "start":
+            self.detector.start(f"u{target:02}", number, self.now_s)
+        else:
+            self.detector.tick(self.now_s)
+
+    def fail(self, failing, seen):
+        """Let one fail while the others answer."""
+        for _ in range(6):
+            self.observe(failing, seen)
+            for name in sorted(self.declared.keys() - {failing}):
+                self.observe(name, answered())
+
+    def observe(self, name, seen):
+        if isinstance(seen, health.DrainingSeen) and name in self.declared:
+            self.draining_until_at_s[name] = self.latest_s + DRAINING_HOLD_S
+        self.detector.observe(name, seen, self.now_s)
+
+    def is_usable(self, name, now_s):
+        seen_until_at_s = self.draining_until_at_s.get(name, 0.0)
+        return not self.declared[name].draining and now_s >= seen_until_at_s
+
+    def check(self, now_s):
+        slots = {name: u.slots for name, u in self.declared.items()}
+        usable = sum(slots[n] for n in slots if self.is_usable(n, now_s))
+        floor = min(FLOOR_SHARE * sum(slots.values()), usable)
+        eligible = self.detector.eligible(now_s)
+        assert all(self.is_usable(name, now_s) for name in eligible)
+        in_use = sum(slots[n] * self.detector.share(n, now_s) for n in eligible)
+        assert in_use >= floor - 1e-6
+
+
+ALL_FAIL = [("fail", 0.1, i, health.ErrorAnswer(500)) for i in range(8)]
+FAIL_THEN_WITHDRAW = [
+    *[("serve", 0.1, None, None)] * 10,
+    *[("fail", 0.1, i, health.ErrorAnswer(500)) for i in (0, 1, 2, 0, 1, 2)],
+    ("declare", 0.1, [upstream(i) for i in range(4)], None),
+]
+
+
+def fails(detector, events):
+    try:
+        Oracle(detector).run(events)
+    except AssertionError:
+        return True
+    return False
+
+
+@given(EVENTS)
+def test_floor_holds_after_every_event(events):
+    Oracle(Ours()).run(events)
+
+
+def test_naive_detector_breaks_the_floor_when_all_fail():
+    assert fails(Naive(), ALL_FAIL)
+    assert not fails(Ours(), ALL_FAIL)
+
+
+def test_naive_detector_breaks_the_floor_on_withdrawal():
+    assert fails(Naive(), FAIL_THEN_WITHDRAW)
+    assert not fails(Ours(), FAIL_THEN_WITHDRAW)
+
+
+def test_the_events_do_eject_before_the_withdrawal():
+    detector = Ours()
+    Oracle(detector).run(FAIL_THEN_WITHDRAW[:-1])
+    assert len(detector.eligible(10.0)) == 5
+
+
+@given(EVENTS)
+def test_the_capacity_left_is_counted_in_slots(events):
+    """A floor of entries would let the one big upstream go."""
+    detector = Ours()
+    oracle = Oracle(detector)
+    oracle.declare([upstream(0, slots=16), *(upstream(i, 1) for i in range(1, 8))])
+    kept = [event for event in events if event[0] not in ("declare", "observe")]
+    oracle.run(kept)
+    assert "u00" in detector.eligible(oracle.latest_s)
