--- a/src/chervilpitch/spread/advancing.py
+++ b/src/chervilpitch/spread/advancing.py
@@ -3,8 +3,9 @@
 from chervilpitch.model import Catalogue
 from chervilpitch.notes import NoteProblem, apply
 
-from .chain import Candidate, Chain, refuse
+from .chain import Candidate, Chain
 from .effects import PutInForce, SpreadEffect, record
+from .learning import refuse
 
 __all__ = ["advance", "replace_catalogue"]
 
--- a/src/chervilpitch/spread/exchange.py
+++ b/src/chervilpitch/spread/exchange.py
@@ -6,8 +6,8 @@
 from chervilpitch.model import Send, Sender
 
 from .advancing import advance
-from .chain import learn, note_conflict
 from .effects import PutInForce, SpreadEffect, record
+from .learning import learn, note_conflict
 from .messages import (
     NoteRequest,
     NotesReply,
--- a/src/chervilpitch/spread/reading.py
+++ b/src/chervilpitch/spread/reading.py
@@ -6,10 +6,11 @@
 from chervilpitch.notes import digest as note_digest
 from chervilpitch.notes import parse
 
-from .chain import RECENT_NOTES, learn, note_conflict
+from .chain import RECENT_NOTES
 from .effects import HEAD, ReadPlatform, SpreadEffect, record
 from .events import PlatformEvent, PlatformFailed, PlatformHead, PlatformValue
 from .exchange import progress, relay
+from .learning import learn, note_conflict
 from .neighbours import stagger_s
 from .state import SpreadState, is_reading
 from .transfer import SNAPSHOT_HEAD, begin_fetch, drop_fetch, take_part
