Add the hybrid logical clock, time line, its picture, metrics and logs

Cause: operators need one ordered view of events over all processes with skewed clocks, metrics that do not grow with 100,000 client accounts, and logs without keys.

Ruled out: wall-clock order (shows effects before causes); accepting any remote stamp (one bad clock drags all along, also step by step, so the limit is counted from the own wall clock only); account labels in metrics.

Change: observe.clock, timeline, render, picture, metrics, logs with tests.

--- a/src/chervilpitch/observe/__init__.py
+++ b/src/chervilpitch/observe/__init__.py
@@ -1,1 +1,45 @@
 """Metrics, logs and the time line of events."""
+
+from .clock import Clock, ClockTooFarAhead, Stamp, merge, stamp, tick
+from .logs import LogFormat, SecretRegister, configure_logs, part_logger
+from .metrics import AccountCount, Metrics, Outcome, TopAccounts
+from .picture import render_html, render_svg
+from .render import render_text
+from .timeline import (
+    BadLine,
+    Chunk,
+    Gap,
+    StampedEvent,
+    Timeline,
+    decode_events,
+    encode_events,
+    merge_events,
+)
+
+__all__ = [
+    "AccountCount",
+    "BadLine",
+    "Chunk",
+    "Clock",
+    "ClockTooFarAhead",
+    "Gap",
+    "LogFormat",
+    "Metrics",
+    "Outcome",
+    "SecretRegister",
+    "Stamp",
+    "StampedEvent",
+    "Timeline",
+    "TopAccounts",
+    "configure_logs",
+    "decode_events",
+    "encode_events",
+    "merge",
+    "merge_events",
+    "part_logger",
+    "render_html",
+    "render_svg",
+    "render_text",
+    "stamp",
+    "tick",
+]
--- /dev/null
+++ b/tests/observe/test_logs.py
@@ -0,0 +1,83 @@
+"""Log lines have their part's prefix and never show a key."""
+
+import io
+import json
+
+import pytest
+
+from chervilpitch.observe import LogFormat, SecretRegister, configure_logs
+
+KEY = "k-3f9a77"
+
+
+@pytest.fixture(params=LogFormat)
+def log(request):
+    stream, secrets = io.StringIO(), SecretRegister()
+    secrets.add(KEY)
+    return configure_logs(stream, request.param, secrets)("limits"), stream
+
+
+def test_lines_begin_with_their_part(log):
+    logger, stream = log
+    logger.info("Tenure lost.", account="fitters")
+    assert "limits: Tenure lost." in stream.getvalue()
+    assert "fitters" in stream.getvalue()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"detail": KEY},
+        {"detail": f"sent {KEY}!"},
+        {"detail": KEY.encode()},
+        {"headers": {"X-Other": [KEY, (KEY,)]}},
+        {"headers": {KEY: 1}},
+        {"error": ValueError(KEY)},
+        {"names": {KEY}},
+    ],
+)
+def test_a_presented_key_never_shows(log, fields):
+    logger, stream = log
+    logger.warning(f"Refused {KEY}.", **fields)
+    assert stream.getvalue() and KEY not in stream.getvalue()
+
+
+def test_a_key_in_a_traceback_never_shows(log):
+    logger, stream = log
+    try:
+        raise ValueError(KEY)
+    except ValueError:
+        logger.exception("Failed.")
+    assert "ValueError" in stream.getvalue() and KEY not in stream.getvalue()
+
+
+@pytest.mark.parametrize(
+    "name", ["key", "api_key", "X-Key", "secret", "peer_secret", "Authorization"]
+)
+def test_fields_named_like_secrets_never_show(log, name):
+    logger, stream = log
+    logger.info("Seen.", **{name: "hidden-value"}, outer={name: "hidden-value"})
+    assert "hidden-value" not in stream.getvalue()
+
+
+def test_names_that_only_contain_the_letters_show(log):
+    logger, stream = log
+    logger.info("Seen.", monkey="shown-value")
+    assert "shown-value" in stream.getvalue()
+
+
+def test_a_key_stays_out_until_its_last_request_ends():
+    secrets = SecretRegister()
+    secrets.add(KEY)
+    secrets.add(KEY)
+    secrets.discard(KEY)
+    assert KEY not in secrets.redact(KEY)
+    secrets.discard(KEY)
+    assert secrets.redact(KEY) == KEY
+
+
+def test_json_lines_are_json():
+    stream = io.StringIO()
+    logger = configure_logs(stream, LogFormat.JSON, SecretRegister())("health")
+    logger.error("Upstream ejected.", upstream="u1")
+    assert json.loads(stream.getvalue())["upstream"] == "u1"
