--- a/src/chervilpitch/cli/main.py
+++ b/src/chervilpitch/cli/main.py
@@ -9,6 +9,7 @@
 from .fleet import AddressCommand, StatusCommand
 from .notes import CheckCommand, DiffCommand
 from .serve import ServeCommand, SettingsCommand
+from .timeline import TimelineCommand
 
 __all__ = ["build_application", "main"]
 
@@ -19,6 +20,7 @@
     ServeCommand,
     SettingsCommand,
     StatusCommand,
+    TimelineCommand,
 )
 
 
--- a/src/chervilpitch/pipeline/application.py
+++ b/src/chervilpitch/pipeline/application.py
@@ -7,10 +7,10 @@
 from http import HTTPStatus
 from urllib.parse import parse_qs
 
-import structlog
 from result import Result
 
 from chervilpitch.model import Refusal, RefusalKind, RunState
+from chervilpitch.observe import Outcome
 from chervilpitch.requests import Reply, before_ticket, refusal_reply, replay
 from chervilpitch.transport.bodies import receive_body
 
@@ -20,6 +20,7 @@
 from .forward import Forwarder
 from .headers import (
     end_to_end,
+    key_text,
     presented_key,
     sent_by_caller,
     ticket_text,
@@ -28,11 +29,18 @@
 from .pipe import run
 from .visit import Answer, Visit
 
-__all__ = ["ADDRESS_PATH", "CallersApplication"]
-
-log = structlog.get_logger()
+__all__ = ["ADDRESS_PATH", "FILTER_NAMES", "CallersApplication"]
 
 ADDRESS_PATH = "/.chervilpitch/addresses"
+FILTER_NAMES = (
+    "identify",
+    "route",
+    "enter",
+    "receive",
+    "remember",
+    "admit",
+    "forward",
+)
 
 
 class CallersApplication:
@@ -50,13 +58,16 @@
         Most bytes of a request's body.
     metrics : object
         Counters and histograms of the instance.
+    hidden : SecretRegister
+        Keeps presented keys out of the logs.
     """
 
-    def __init__(self, decisions, upstreams, clock, max_body_bytes, metrics):
+    def __init__(self, decisions, upstreams, clock, max_body_bytes, metrics, hidden):
         self._decisions = decisions
         self._clock = clock
         self._max_body_bytes = max_body_bytes
         self._metrics = metrics
+        self._hidden = hidden
         forwarder = Forwarder(decisions, upstreams, clock)
         self._before_body = (
             ("identify", functools.partial(filters.identify, decisions)),
@@ -73,7 +84,7 @@
         headers = sent_by_caller(environ)
         if environ["PATH_INFO"] == ADDRESS_PATH:
             return self._answer_addresses(environ, headers, start_response)
-        visit = Visit(self._decisions)
+        visit = Visit(self._decisions, self._hidden, key_text(headers))
         try:
             answer = self._serve(environ, headers, start_response, visit)
         except BaseException:
@@ -84,7 +95,7 @@
     def _serve(self, environ, headers, start_response, visit):
         exchange = Exchange(self._request(environ, headers))
         filters = self._filters_of(environ, visit)
-        outcome = run(filters, exchange, self._clock, self._metrics.filter_took)
+        outcome = run(filters, exchange, self._clock, self._metrics.observe_filter)
         if outcome.is_err():
             refusal = outcome.unwrap_err()
             return self._refuse(refusal, headers, start_response, visit)
@@ -131,7 +142,7 @@
         delivery = Delivery(self._decisions, exchange, self._clock)
         answer = exchange.answer
         headers = _answer_headers(exchange)
-        self._metrics.answered(answer.status)
+        self._metrics.count_request(Outcome(exchange.route.name))
         start_response(_status_line(answer.status), list(headers))
         if exchange.request.method == "HEAD":
             delivery.close()
@@ -140,7 +151,8 @@
 
     def _refuse(self, refusal, headers, start_response, visit=None):
         told = before_ticket(refusal, self._may_have_begun(refusal, headers))
-        self._metrics.refused(refusal.kind.value)
+        route = visit.route.name if visit and visit.route else ""
+        self._metrics.count_request(Outcome(route, refusal.kind))
         ticket = self._next_ticket(told, visit)
         reply = refusal_reply(told, self._clock(), ticket)
         return self._send(reply, start_response)
--- a/src/chervilpitch/pipeline/headers.py
+++ b/src/chervilpitch/pipeline/headers.py
@@ -6,6 +6,7 @@
 from chervilpitch.transport.upstreams import HOP_BY_HOP, Headers
 
 __all__ = [
+    "key_text",
     "end_to_end",
     "presented_key",
     "sent_by_caller",
@@ -75,8 +76,25 @@
     >>> presented_key((("authorization", "Bearer k-123"),))
     PresentedKey(...)
     """
+    key = key_text(headers)
+    return PresentedKey(key) if key else None
+
+
+def key_text(headers: Headers) -> str:
+    """Return the text of the key that came with a request, empty for none.
+
+    Parameters
+    ----------
+    headers : tuple of pairs of str
+        Lower-case names and values from the caller.
+
+    Returns
+    -------
+    str
+        The key of an ``Authorization: Bearer`` header.
+    """
     scheme, _, key = _value(headers, KEY_HEADER).partition(" ")
-    return PresentedKey(key.strip()) if scheme.lower() == KEY_SCHEME else None
+    return key.strip() if scheme.lower() == KEY_SCHEME else ""
 
 
 def ticket_text(headers: Headers) -> str:
--- a/src/chervilpitch/pipeline/visit.py
+++ b/src/chervilpitch/pipeline/visit.py
@@ -18,10 +18,17 @@
     ----------
     decisions : Decisions
         The decision cores.
+    hidden : SecretRegister
+        Keeps presented keys out of the logs.
+    key : str
+        The key presented, empty for none.
     """
 
-    def __init__(self, decisions):
+    def __init__(self, decisions, hidden, key: str):
         self._decisions = decisions
+        self._hidden = hidden
+        self._key = key
+        hidden.add(key)
         self._account = None
         self._route = None
         self._is_counted = False
@@ -46,6 +53,8 @@
 
     def leave(self) -> None:
         """Count the request no more; a second call has no effect."""
+        self._hidden.discard(self._key)
+        self._key = ""
         if self._is_counted:
             self._decisions.leave(self._account)
             self._is_counted = False
--- a/src/chervilpitch/runtime/control.py
+++ b/src/chervilpitch/runtime/control.py
@@ -64,6 +64,7 @@
             effects += health.tick(cores.health, now_s)
             effects += limits.tick(cores.limits, now_s)
             effects += questions.tick(cores.questions, now_s)
+            effects += accounts.tick(cores.freshness, now_s)
             effects += requests.tick(cores.records, now_s)
             effects += self._spread(spread.tick(cores.spread, now_s))
             effects += self._health_reports(now_s)
--- a/src/chervilpitch/runtime/instance.py
+++ b/src/chervilpitch/runtime/instance.py
@@ -1,16 +1,24 @@
 """One instance: everything built from its settings, started and stopped."""
 
+import logging
 import secrets
 import signal
+import sys
 import threading
 
-import structlog
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from result import Result
 
 from chervilpitch import settings as settings_package
-from chervilpitch.model import Event, Instance
-from chervilpitch.pipeline.application import CallersApplication
+from chervilpitch.model import Instance
+from chervilpitch.observe import (
+    LogFormat,
+    Metrics,
+    SecretRegister,
+    configure_logs,
+    part_logger,
+)
+from chervilpitch.pipeline.application import FILTER_NAMES, CallersApplication
 from chervilpitch.settings import Settings, SettingsProblem
 from chervilpitch.transport.admin import (
     AdminApplication,
@@ -25,15 +33,15 @@
 from .control import Control
 from .cores import Cores
 from .decisions import Decisions
+from .journal import Journal
 from .loop import ControlLoop
-from .metrics import Metrics
 from .probes import Prober
 from .reader import PlatformReader
 from .status import status
 
 __all__ = ["RunningInstance", "serve"]
 
-log = structlog.get_logger()
+log = part_logger("instance")
 
 NS_PER_MS = 1_000_000
 
@@ -47,9 +55,11 @@
         Checked settings.
     secret : bytes
         Secret shared by the fleet.
+    hidden : SecretRegister
+        Keeps presented keys out of the logs.
     """
 
-    def __init__(self, settings: Settings, secret: bytes):
+    def __init__(self, settings: Settings, secret: bytes, hidden: SecretRegister):
         own = _own_instance(settings)
         self._cores = Cores(
             own,
@@ -59,7 +69,8 @@
             wall_ns() // NS_PER_MS,
             self._carry_out,
         )
-        self._metrics = Metrics()
+        self._metrics = Metrics(FILTER_NAMES)
+        self._journal = Journal(self._cores.sender)
         self._control = Control(self._cores)
         self._reader = PlatformReader(
             PlatformClient(
@@ -74,7 +85,7 @@
             self._cores,
             self._control,
             secret,
-            self._record,
+            self._journal,
             self._reader.read,
             self._prober.start_due,
         )
@@ -89,6 +100,7 @@
                 monotonic_s,
                 callers.max_body_bytes,
                 self._metrics,
+                hidden,
             ),
             callers.threads,
             callers.stall_timeout_s,
@@ -97,7 +109,13 @@
 
         self._admin = build_admin_server(
             settings.instance.admin,
-            AdminApplication({"/status": self._status, "/metrics": self._metrics_page}),
+            AdminApplication(
+                {
+                    "/status": self._status,
+                    "/metrics": self._metrics_page,
+                    "/events": self._events,
+                }
+            ),
         )
 
     def run(self) -> None:
@@ -105,12 +123,12 @@
         self._loop.start()
         self._reader.start()
         threading.Thread(target=self._admin.safe_start, daemon=True).start()
-        log.info("instance: Serving begins.", instance=self._cores.own.name)
+        log.info("Serving begins.", instance=self._cores.own.name)
         self._callers.safe_start()
         self._prober.stop()
         self._loop.stop()
         self._admin.stop()
-        log.info("instance: Serving ended.", instance=self._cores.own.name)
+        log.info("Serving ended.", instance=self._cores.own.name)
 
     def stop(self) -> None:
         """Leave, finish the requests in progress and end :meth:`run`."""
@@ -126,8 +144,8 @@
     def _carry_out(self, effects):
         self._loop.carry_out(effects)
 
-    def _record(self, event: Event):
-        log.info(f"{event.part}: {event.name}.", about=event.subject, more=event.detail)
+    def _events(self):
+        return "application/jsonl", self._journal.lines().encode()
 
 
 def serve(settings: Settings) -> Result[None, SettingsProblem]:
@@ -149,7 +167,11 @@
 
 
 def _serve(settings, secret):
-    instance = RunningInstance(settings, secret)
+    log_format = LogFormat(settings.log.format)
+    level = logging.getLevelName(settings.log.level.upper())
+    hidden = SecretRegister()
+    configure_logs(sys.stdout, log_format, hidden, level)
+    instance = RunningInstance(settings, secret, hidden)
 
     def on_signal(number, frame):
         threading.Thread(target=instance.stop).start()
--- /dev/null
+++ b/src/chervilpitch/runtime/journal.py
@@ -0,0 +1,82 @@
+"""The time line and the hybrid logical clock of one instance."""
+
+import threading
+
+from chervilpitch.model import Event, Sender
+from chervilpitch.observe import (
+    Chunk,
+    Clock,
+    Timeline,
+    encode_events,
+    merge,
+    part_logger,
+    stamp,
+    tick,
+)
+from chervilpitch.transport.clock import wall_ns
+
+__all__ = ["Journal"]
+
+MAX_EVENTS_SHOWN = 20_000
+
+
+class Journal:
+    """Stamps, keeps and logs the events of one instance.
+
+    Parameters
+    ----------
+    sender : Sender
+        Name and incarnation of the instance.
+    """
+
+    def __init__(self, sender: Sender):
+        self._name = sender.name
+        self._clock = Clock()
+        self._timeline = Timeline(sender.incarnation)
+        self._lock = threading.Lock()
+
+    def record(self, event: Event) -> None:
+        """Put an event on the time line and into the log.
+
+        Parameters
+        ----------
+        event : Event
+            The event.
+        """
+        with self._lock:
+            self._clock = tick(self._clock, wall_ns())
+            self._timeline.append(stamp(self._clock, self._name), event)
+        sentence = f"{event.name.replace('-', ' ').capitalize()}."
+        part_logger(event.part).info(
+            sentence, subject=event.subject, detail=event.detail
+        )
+
+    def clock_for_message(self) -> Clock:
+        """Return the clock for a message to be sent."""
+        with self._lock:
+            self._clock = tick(self._clock, wall_ns())
+            return self._clock
+
+    def message_received(self, remote: Clock, origin: str) -> None:
+        """Advance the clock beyond that of a message.
+
+        Parameters
+        ----------
+        remote : Clock
+            Clock of the message.
+        origin : str
+            Name of the sender, recorded when its clock is too far ahead.
+        """
+        with self._lock:
+            merged = merge(self._clock, remote, wall_ns())
+            self._clock = merged.unwrap_or(self._clock)
+        if merged.is_err():
+            ahead_s = merged.unwrap_err().ahead_ns / 1e9
+            detail = f"{ahead_s:.1f} s ahead"
+            self.record(Event("observe", "clock-refused", origin, detail))
+
+    def lines(self) -> str:
+        """Return the events kept, as JSON, one a line."""
+        with self._lock:
+            chunk: Chunk = self._timeline.since(None, MAX_EVENTS_SHOWN)
+        return encode_events(chunk.events)
--- a/src/chervilpitch/runtime/loop.py
+++ b/src/chervilpitch/runtime/loop.py
@@ -5,8 +5,8 @@
 
 from chervilpitch.limits import ASK_INTERVAL_S
 from chervilpitch.model import Effect, Record, Send
+from chervilpitch.observe import Clock
 from chervilpitch.spread import ReadPlatform
-from chervilpitch.transport.clock import wall_ns
 from chervilpitch.transport.codec import Envelope
 from chervilpitch.transport.peers import PeersChannel
 
@@ -27,8 +27,8 @@
         Drives the cores.
     secret : bytes
         Secret shared by the fleet.
-    record : callable
-        Takes each event for the time line.
+    journal : Journal
+        Stamps messages and takes the events.
     read : callable
         Takes each wish to read the configuration service.
     probe : callable
@@ -36,11 +36,11 @@
     """
 
     def __init__(
-        self, cores: Cores, control: Control, secret: bytes, record, read, probe
+        self, cores: Cores, control: Control, secret: bytes, journal, read, probe
     ):
         self._cores = cores
         self._control = control
-        self._record = record
+        self._journal = journal
         self._read = read
         self._probe = probe
         self._channel = PeersChannel(secret, cores.own.name, self._deliver)
@@ -77,7 +77,7 @@
             self._loop.call_soon_threadsafe(self._send_all, sends)
         for effect in effects:
             if isinstance(effect, Record):
-                self._record(effect.event)
+                self._journal.record(effect.event)
             elif isinstance(effect, ReadPlatform):
                 self._read(effect)
 
@@ -108,7 +108,12 @@
                 self._channel.send(peer.peers_address, envelope)
 
     def _envelope(self, effect):
-        return Envelope(self._cores.sender, effect.to, wall_ns(), 0, effect.message)
+        clock = self._journal.clock_for_message()
+        return Envelope(
+            self._cores.sender, effect.to, clock.wall_ns, clock.count, effect.message
+        )
 
     def _deliver(self, envelope):
+        remote = Clock(envelope.wall_ns, envelope.logical)
+        self._journal.message_received(remote, envelope.sender.name)
         self._control.receive(envelope.message, envelope.sender)
--- a/src/chervilpitch/runtime/reader.py
+++ b/src/chervilpitch/runtime/reader.py
@@ -3,11 +3,11 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
-import structlog
 from result import Err, Ok, Result
 
 from chervilpitch import membership
 from chervilpitch.errors import PlatformError
+from chervilpitch.observe import part_logger
 from chervilpitch.spread import (
     PlatformEvent,
     PlatformFailed,
@@ -22,7 +22,7 @@
 
 __all__ = ["PlatformReader", "event_of"]
 
-log = structlog.get_logger()
+log = part_logger("platform")
 
 HEAD = "notes/head"
 LIST = "instances"
@@ -98,7 +98,7 @@
             taken = read.and_then(lambda value: self._take_list(value.content or b""))
             if taken.is_err():
                 failure = str(taken.unwrap_err())
-                log.warning("platform: The list was not taken.", failure=failure)
+                log.warning("The list was not taken.", failure=failure)
                 version = ""
                 self._stopped.wait(AGAIN_AFTER_FAILURE_S)
 
--- a/src/chervilpitch/transport/callers.py
+++ b/src/chervilpitch/transport/callers.py
@@ -5,14 +5,15 @@
 import re
 from collections.abc import Callable, Iterable
 
-import structlog
 from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 
+from chervilpitch.observe import part_logger
+
 __all__ = ["CallersServer", "StrictHeaderReader", "build_server"]
 
-log = structlog.get_logger()
+log = part_logger("transport")
 
 SINGLE_HEADERS = frozenset((b"content-length", b"host", b"transfer-encoding"))
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9a-z-]+")
@@ -59,7 +60,7 @@
 
     def error_log(self, msg="", level=logging.INFO, traceback=False):
         """Log a failure of a connection in one line, without its traceback."""
-        log.warning("transport: A connection failed.", failure=msg.split("\n")[0])
+        log.warning("A connection failed.", failure=msg.split("\n")[0])
 
 
 def build_server(
--- a/src/chervilpitch/transport/peers.capnp
+++ b/src/chervilpitch/transport/peers.capnp
@@ -93,6 +93,7 @@
   granted @2 :Bool;
   taken @3 :Bool;
   tenured @4 :Bool;
+  veteran @5 :Bool;
 }
 
 struct Release {
--- a/src/chervilpitch/transport/peers.py
+++ b/src/chervilpitch/transport/peers.py
@@ -5,16 +5,15 @@
 import socket
 from collections.abc import Callable
 
-import structlog
-
 from chervilpitch.errors import ChervilpitchError
+from chervilpitch.observe import part_logger
 
 from .codec import Envelope, decode, encode
 from .frames import HEADER_BYTES, open_payload, payload_length, seal
 
 __all__ = ["PeersChannel"]
 
-log = structlog.get_logger()
+log = part_logger("peers")
 
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_S = 0.5
@@ -178,7 +177,7 @@
 
     def _refuse(self, error):
         self._counts["frames_refused"] += 1
-        log.warning("peers: A frame was refused.", failure=str(error))
+        log.warning("A frame was refused.", failure=str(error))
         return False
 
 
