--- a/src/chervilpitch/pipeline/application.py
+++ b/src/chervilpitch/pipeline/application.py
@@ -143,7 +143,7 @@
         answer = exchange.answer
         headers = _answer_headers(exchange)
         self._metrics.count_request(Outcome(exchange.route.name))
-        start_response(_status_line(answer.status), list(headers))
+        start_response(_status_line(answer.status), self._closing(headers))
         if exchange.request.method == "HEAD":
             delivery.close()
             return []
@@ -181,12 +181,17 @@
         kind = (("Content-Type", "application/json"), ("Cache-Control", "no-store"))
         return self._send(Reply(HTTPStatus.OK, kind, body), start_response)
 
-    @staticmethod
-    def _send(reply, start_response):
+    def _send(self, reply, start_response):
         length = ("Content-Length", str(len(reply.body)))
-        start_response(_status_line(reply.status), [*reply.headers, length])
+        headers = self._closing([*reply.headers, length])
+        start_response(_status_line(reply.status), headers)
         return [reply.body]
 
+    def _closing(self, headers) -> list[tuple[str, str]]:
+        """Return headers that end the connection while the instance leaves."""
+        closing = [("Connection", "close")] if self._decisions.is_leaving else []
+        return [*headers, *closing]
+
 
 BEFORE_TICKET_KINDS = frozenset(
     (
--- a/src/chervilpitch/runtime/decisions.py
+++ b/src/chervilpitch/runtime/decisions.py
@@ -8,7 +8,13 @@
 from result import Err, Ok, Result
 
 from chervilpitch import accounts, health, limits, membership, requests, routing
-from chervilpitch.model import ClientAccount, Refusal, Route
+from chervilpitch.model import (
+    ClientAccount,
+    Refusal,
+    RefusalKind,
+    Route,
+    RunState,
+)
 from chervilpitch.pipeline.exchange import Exchange
 
 from .cores import Cores
@@ -93,6 +99,8 @@
         self._clock = cores.clock
         self._in_progress = accounts.InProgress(requests_per_account)
         self._waiting = accounts.InProgress(WAITING_PER_ACCOUNT)
+        self._is_leaving = False
+        self._is_refusing = False
         self._retry_budgets: dict[str, requests.RetryBudget] = {}
 
     @property
@@ -100,6 +108,19 @@
         """Requests in progress."""
         return self._in_progress.total
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether connections are to be closed after their answers."""
+        return self._is_leaving
+
+    def close_after_answers(self) -> None:
+        """Close each caller's connection after its next answer."""
+        self._is_leaving = True
+
+    def refuse_new(self) -> None:
+        """Refuse requests that begin from now on."""
+        self._is_refusing = True
+
     def identify(self, key) -> Result[ClientAccount, Refusal]:
         """Return the client account of a key, if the catalogue is fresh."""
         with self._lock:
@@ -111,6 +132,8 @@
     def enter(self, account: str) -> Result[None, Refusal]:
         """Count a request that begins."""
         with self._lock:
+            if self._is_refusing:
+                return Err(Refusal(RefusalKind.NOT_READY, RunState.NOT_RUN))
             return self._in_progress.enter(account)
 
     def leave(self, account: str) -> None:
--- a/src/chervilpitch/runtime/instance.py
+++ b/src/chervilpitch/runtime/instance.py
@@ -37,6 +37,7 @@
 from .loop import ControlLoop
 from .probes import Prober
 from .reader import PlatformReader
+from .shutdown import Shutdown
 from .status import status
 
 __all__ = ["RunningInstance", "serve"]
@@ -107,6 +108,13 @@
             callers.max_header_bytes,
         )
 
+        self._shutdown = Shutdown(
+            self._cores,
+            self._decisions,
+            self._control,
+            settings.instance.stop_within_s,
+            self._end,
+        )
         self._admin = build_admin_server(
             settings.instance.admin,
             AdminApplication(
@@ -132,8 +140,7 @@
 
     def stop(self) -> None:
         """Leave, finish the requests in progress and end :meth:`run`."""
-        self._reader.stop()
-        self._callers.stop()
+        self._shutdown.request()
 
     def _status(self):
         return as_json(status(self._cores, self._control, self._decisions))
@@ -144,6 +151,10 @@
     def _carry_out(self, effects):
         self._loop.carry_out(effects)
 
+    def _end(self):
+        self._reader.stop()
+        self._callers.stop()
+
     def _events(self):
         return "application/jsonl", self._journal.lines().encode()
 
@@ -174,7 +185,7 @@
     instance = RunningInstance(settings, secret, hidden)
 
     def on_signal(number, frame):
-        threading.Thread(target=instance.stop).start()
+        threading.Thread(target=instance.stop, daemon=True).start()
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
--- a/src/chervilpitch/settings/schema.py
+++ b/src/chervilpitch/settings/schema.py
@@ -75,6 +75,7 @@
     callers: Address
     peers: Address
     admin: Address
+    stop_within_s: Seconds = 120.0
 
     @model_validator(mode="after")
     def _addresses_differ(self) -> "InstanceSettings":
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -189,11 +189,11 @@
         """Publish the revision and digest of the last note."""
         self._write("notes/head", f"{self._revision} {self._digest}")
 
-    def start_instance(self, name, **callers):
+    def start_instance(self, name, stop_within_s=2, **callers):
         """Start an instance."""
         place = self._places[name]
         path = self._directory / f"{name}.ini"
-        path.write_text(self._settings(place, callers))
+        path.write_text(self._settings(place, stop_within_s, callers))
         self._start(name, "chervilpitch", "serve", path)
         wait_for(place.callers)
 
@@ -226,7 +226,7 @@
         temporary.write_text(text)
         temporary.replace(path)
 
-    def _settings(self, place, callers):
+    def _settings(self, place, stop_within_s, callers):
         lines = [
             "[instance]",
             f"name = {place.name}",
@@ -235,6 +235,7 @@
             f"callers = {place.callers}",
             f"peers = {place.peers}",
             f"admin = {place.admin}",
+            f"stop-within-s = {stop_within_s}",
             "[fleet]",
             f"secret-file = {self._secret}",
             "[platform]",
