--- a/src/chervilpitch/routing/choice.py
+++ b/src/chervilpitch/routing/choice.py
@@ -262,6 +262,7 @@
 
 
 def _less_loaded(state, weights):
+    """Return the less loaded of two draws, the first of equal ones."""
     first = _draw(state, weights)
     second = _draw(state, weights)
     return min(first, second, key=lambda name: _load(state, name, weights[name]))
@@ -278,7 +279,7 @@
 
 def _load(state, name, share):
     slots = state.health.upstreams[name].upstream.slots
-    return (state.in_flight(name) + 1) / (slots * share)
+    return state.in_flight(name) / (slots * share)
 
 
 def _adapt_window(state, name, slots, observation, now_s):
