Compare a suspect with its peers at the same time

Cause: while a whole service slowed down its baseline moved, so upstreams asked later looked sound beside those asked before; and with errors everywhere a few unlucky answers were enough.

Change: health/peers.py asks for a suspect that is slower, or errs more often, than the peers in the same moment. A failure domain that fails whole is left for others (tested).

Ruled out: an error rate pooled over the peers, with which a failing failure domain protected its own members.

Open: false ejections under fleet-wide errors.

--- a/src/chervilpitch/health/baseline.py
+++ b/src/chervilpitch/health/baseline.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from statistics import median
 from typing import NamedTuple
 
@@ -10,6 +10,7 @@
 
 SAMPLES_PER_UPSTREAM = 16
 MIN_SAMPLES_FOR_SPREAD = 4
+LAST_SAMPLES = 3
 MIN_SPREAD = 0.3
 PRIOR_SPREAD = 0.8
 PRIOR_SAMPLES = 8
@@ -139,6 +140,39 @@
             return None
         return _summarize(others)
 
+    def contrasts(
+        self, service: str, upstream: str, others: Iterable[str], overdue: Mapping
+    ) -> list[float]:
+        """Return how much slower an upstream has been of late than others.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        upstream : str
+            Name of the upstream.
+        others : iterable of str
+            Names of the upstreams to compare with.
+        overdue : mapping
+            Seconds that exchanges of the upstream have waited, by class of request.
+
+        Returns
+        -------
+        list of float
+            For each class of request that can be compared, the difference of the
+            medians of the logarithm of the last few latencies.
+        """
+        found = []
+        for key, row in self._samples.items():
+            if key[1] != service:
+                continue
+            own = list(row[upstream].logs) if upstream in row else []
+            own += map(math.log, overdue.get(key, ()))
+            theirs = [_last_median(row[name].logs) for name in others if name in row]
+            if own and theirs:
+                found.append(_last_median(own) - median(theirs))
+        return found
+
     def forget(self, is_kept: Callable[[str], bool]) -> None:
         """Drop the samples of upstreams that are not kept.
 
@@ -167,6 +201,10 @@
         self._samples = kept
 
 
+def _last_median(logs):
+    return median(list(logs)[-LAST_SAMPLES:])
+
+
 def _summarize(others):
     middles = [median(logs) for logs in others]
     deviations = sorted(
--- a/src/chervilpitch/health/ejection.py
+++ b/src/chervilpitch/health/ejection.py
@@ -5,7 +5,8 @@
 
 from chervilpitch.model import Event, Record
 
-from .evidence import doubt, has_sound_peers, is_common
+from .evidence import doubt
+from .peers import has_sound_peers, is_common
 from .scores import EJECT_SCORE, NO_SCORES
 from .state import NEVER_S, HealthState
 
--- a/src/chervilpitch/health/evidence.py
+++ b/src/chervilpitch/health/evidence.py
@@ -19,17 +19,22 @@
 from .scores import EJECT_SCORE, add_error, add_latency, add_success, latency_ratio
 from .state import Exchange, HealthState
 
-__all__ = ["absorb", "doubt", "has_sound_peers", "is_common", "is_silent", "pending"]
+__all__ = [
+    "WITNESS_ANSWERS",
+    "absorb",
+    "doubt",
+    "first_byte_key",
+    "is_silent",
+    "pending",
+    "recent_outcomes",
+    "share_of_errors",
+]
 
 MIN_LATENCY_S = 0.0005
 RECENT_S = 3.0
 OUTCOMES = 24
 RECENT_OUTCOMES = 8
-ERROR_CONTRAST = 3.0
 WITNESS_ANSWERS = 3
-SOUND_SCORE = EJECT_SCORE / 4
-SOUND_SHARE = 0.5
-COMMON_WITNESSES = 2
 STALL_EVIDENCE = 7.0
 REUSED_EVIDENCE_SHARE = 0.5
 BODY_SILENCE_S = 2.0
@@ -86,6 +91,10 @@
     if _spans_pause(state, exchange):
         return
     share = REUSED_EVIDENCE_SHARE if exchange and exchange.is_reused else 1.0
+    if not (exchange and exchange.is_answering):
+        size = exchange.request_bytes if exchange else 0
+        key = first_byte_key(state, name, exchange, size)
+        state.latencies.add(key, name, observation.waited_s, now_s)
     _add_latency(state, name, STALL_EVIDENCE * share, now_s)
     _note_end(state, name, now_s)
 
@@ -179,91 +188,6 @@
     return max(latency, scores.frequent_errors, scores.occasional_errors)
 
 
-def has_sound_peers(state: HealthState, name: str, now_s: float) -> bool:
-    """Return whether other upstreams do well while this one does not.
-
-    Only those are asked that have ended a few exchanges since the evidence against
-    this one began: an answer from before tells nothing when everything has become
-    slow at once.
-
-    Parameters
-    ----------
-    state : HealthState
-        Not changed.
-    name : str
-        Name of the upstream.
-    now_s : float
-        Monotonic time in seconds.
-
-    Returns
-    -------
-    bool
-        False when the whole service is slow or failing.
-    """
-    if _fails_by_errors(state, name) and not _errs_more(state, name, now_s):
-        return False
-    doubts = [doubt(state, other, now_s) for other in _witnesses(state, name, now_s)]
-    sound = sum(value < SOUND_SCORE for value in doubts)
-    return sound > 0 and sound >= SOUND_SHARE * len(doubts)
-
-
-def is_common(state: HealthState, name: str, now_s: float) -> bool:
-    """Return whether upstreams of other failure domains do as badly.
-
-    Parameters
-    ----------
-    state : HealthState
-        Not changed.
-    name : str
-        Name of the upstream.
-    now_s : float
-        Monotonic time in seconds.
-
-    Returns
-    -------
-    bool
-        True when the service as a whole has become slow or failing.
-    """
-    domain = state.upstreams[name].upstream.failure_domain
-    doubts = [
-        doubt(state, other, now_s)
-        for other in _witnesses(state, name, now_s)
-        if state.upstreams[other].upstream.failure_domain != domain
-    ]
-    failing = sum(value >= SOUND_SCORE for value in doubts)
-    return failing >= COMMON_WITNESSES and failing > SOUND_SHARE * len(doubts)
-
-
-def _fails_by_errors(state, name):
-    scores = state.upstreams[name].scores
-    return max(scores.frequent_errors, scores.occasional_errors) > scores.latency
-
-
-def _errs_more(state, name, now_s):
-    outcomes = state.upstreams[name].outcomes
-    rate = sum(outcomes) / max(1, len(outcomes))
-    return rate >= ERROR_CONTRAST * _usual_error_rate(state, name, now_s)
-
-
-def _witnesses(state, name, now_s):
-    from_at_s = _suspect_from_at_s(state, name, now_s)
-    return [
-        other
-        for other in state.peers_of(name)
-        if _has_answered_since(state, other, from_at_s)
-    ]
-
-
-def _suspect_from_at_s(state, name, now_s):
-    waiting = (x.silent_from_at_s for x in state.in_flight(name) if x.is_waiting)
-    return min(state.upstreams[name].suspect_from_at_s, *waiting, now_s)
-
-
-def _has_answered_since(state, name, from_at_s):
-    seen_at_s = state.upstreams[name].seen_at_s
-    return len(seen_at_s) == WITNESS_ANSWERS and seen_at_s[0] > from_at_s
-
-
 def _is_recent(state, name, now_s):
     seen_at_s = state.upstreams[name].seen_at_s
     return bool(seen_at_s) and now_s - seen_at_s[-1] < RECENT_S
@@ -278,9 +202,14 @@
     return exchange is not None and exchange.started_at_s < state.resumed_at_s
 
 
+def first_byte_key(state, name, exchange, request_bytes):
+    """Return the class of request under which a first byte is compared."""
+    service = state.upstreams[name].upstream.service
+    return ("first", service, *_class_of(exchange, request_bytes))
+
+
 def _first_byte_ratio(state, name, exchange, answered, now_s):
-    key = ("first", state.upstreams[name].upstream.service)
-    key += _class_of(exchange, answered.request_bytes)
+    key = first_byte_key(state, name, exchange, answered.request_bytes)
     ratio = _ratio(state, key, name, answered.latency_s, now_s)
     taken_s = max(MIN_LATENCY_S, answered.latency_s)
     state.latencies.add(key, name, taken_s, now_s)
@@ -316,8 +245,7 @@
     silent_s = now_s - silent_from_at_s
     if exchange.is_answering:
         return STALL_EVIDENCE if silent_s > BODY_SILENCE_S else 0.0
-    key = ("first", state.upstreams[name].upstream.service)
-    key += _class_of(exchange, exchange.request_bytes)
+    key = first_byte_key(state, name, exchange, exchange.request_bytes)
     ratio = _ratio(state, key, name, silent_s, now_s) or 0.0
     share = REUSED_EVIDENCE_SHARE if exchange.is_reused else 1.0
     return max(0.0, ratio) * share
@@ -349,11 +277,20 @@
 
 def _usual_error_rate(state, name, now_s):
     """Return the error rate of the others, without the worst of them."""
-    others = [
+    others = recent_outcomes(state, name, now_s)
+    return share_of_errors(sorted(others, key=sum)[:-1])
+
+
+def recent_outcomes(state, name, now_s):
+    """Return the last outcomes of each other upstream that is in use now."""
+    return [
         state.upstreams[other].outcomes[-RECENT_OUTCOMES:]
         for other in state.peers_of(name)
         if _is_recent(state, other, now_s)
     ]
-    usual = sorted(others, key=sum)[:-1]
-    total = sum(map(len, usual))
-    return sum(map(sum, usual)) / total if total else 0.0
+
+
+def share_of_errors(outcomes):
+    """Return the share of errors in the outcomes of several upstreams."""
+    total = sum(map(len, outcomes))
+    return sum(map(sum, outcomes)) / total if total else 0.0
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -228,3 +228,38 @@
         counts[held.upstream] += 1
         routing.release(state, held, OK, 5.0)
     assert 0 < counts["u16"] < 30
+
+
+def serve(state, now_s, count, is_failing):
+    """Send requests one after the other; return how many met a failing upstream."""
+    met = 0
+    for _ in range(count):
+        now_s += 0.03
+        health.tick(state.health, now_s)
+        held = routing.reserve(state, ROUTE, (), now_s).unwrap()
+        met += is_failing(held.upstream)
+        end = health.Truncated() if is_failing(held.upstream) else OK
+        routing.release(state, held, end, now_s)
+    return now_s, met
+
+
+def test_a_failing_failure_domain_is_left_for_others():
+    state = new_state([upstream(i) for i in range(16)])
+    now_s, _ = serve(state, 0.0, 100, lambda name: False)
+    own = {"u00", "u04", "u08", "u12"}
+    now_s, _ = serve(state, now_s, 100, own.__contains__)
+    _, met = serve(state, now_s, 100, own.__contains__)
+    assert met == 0
+
+
+def test_a_request_is_served_when_a_whole_region_fails():
+    state = new_state([upstream(i) for i in range(16)])
+    near = {f"u{i:02}" for i in range(16) if i % 4 < 2}
+    now_s, _ = serve(state, 0.0, 100, lambda name: False)
+    failed = []
+    for _ in range(3):
+        held = routing.reserve(state, ROUTE, failed, now_s).unwrap()
+        end = health.ConnectFailed() if held.upstream in near else OK
+        routing.release(state, held, end, now_s)
+        failed.append(held.upstream)
+    assert failed[-1] not in near
