--- a/src/chervilpitch/notes/snapshot.py
+++ b/src/chervilpitch/notes/snapshot.py
@@ -3,7 +3,6 @@
 import hashlib
 import json
 import math
-import sys
 import zlib
 from collections.abc import Iterator, Sequence
 from enum import StrEnum
@@ -237,24 +236,14 @@
         model = _PartModel.model_validate_json(text)
     except (zlib.error, ValidationError):
         return False
-    tables = (
-        (catalogue.accounts, model.accounts),
-        (catalogue.keys, model.keys),
-        (catalogue.routes, model.routes),
-        (catalogue.upstreams, model.upstreams),
-    )
-    for table, items in tables:
-        table.update((item[0], item) for item in map(_interned, items))
+    catalogue.accounts.update((item.name, item) for item in model.accounts)
+    catalogue.keys.update((item.digest, item) for item in model.keys)
+    catalogue.routes.update((item.name, item) for item in model.routes)
+    catalogue.upstreams.update((item.name, item) for item in model.upstreams)
     catalogue.seats.update(model.seats)
     return decoder.eof
 
 
-def _interned(item: Any) -> Any:
-    """Return an item whose texts share memory with equal texts."""
-    values = (sys.intern(v) if isinstance(v, str) else v for v in item)
-    return item._make(values)
-
-
 def _is_sound(catalogue: Catalogue) -> bool:
     """Whether numbers are possible and every reference leads to an item."""
     accounts = catalogue.accounts
