--- a/src/chervilpitch/spread/exchange.py
+++ b/src/chervilpitch/spread/exchange.py
@@ -24,7 +24,7 @@
 ASK_AGAIN_S = 1.0
 BEHIND_S = 20.0
 MAX_PUSH_CHARACTERS = 8_000
-MAX_REPLY_CHARACTERS = 1_500_000
+MAX_REPLY_CHARACTERS = 250_000
 
 
 def receive(
@@ -74,7 +74,7 @@
     if message.is_ready:
         state._answered.add(sender.name)
         state._peers_revision = max(state._peers_revision, message.revision)
-    if message.newest_revision <= own.revision:
+    if (message.newest_revision, message.newest_digest) == own[:2]:
         confirmed_at_s = now_s - max(0.0, message.platform_age_s)
         state._platform_at_s = max(state._platform_at_s, confirmed_at_s)
     effects: list[SpreadEffect] = []
@@ -170,7 +170,7 @@
 def _(
     message: SnapshotRequest, state: SpreadState, sender: Sender, now_s: float
 ) -> tuple[SpreadEffect, ...]:
-    return serve_snapshot(state, message, sender.name)
+    return serve_snapshot(state, message, sender.name, now_s)
 
 
 @_receive.register
@@ -202,6 +202,8 @@
         `PutInForce`, records and adverts.
     """
     effects = advance(state.chain, now_s)
+    if state._platform_head == state.chain.catalogue[:2]:
+        state._platform_at_s = max(state._platform_at_s, state._head_at_s)
     return (*effects, *relay(state, effects, now_s))
 
 
--- a/src/chervilpitch/spread/reading.py
+++ b/src/chervilpitch/spread/reading.py
@@ -129,6 +129,7 @@
 ) -> tuple[SpreadEffect, ...]:
     state._head_due_at_s = now_s
     state._platform_failed = False
+    state._head_at_s = now_s
     own = state.chain.catalogue
     is_repeated = state._platform_head == (event.revision, event.digest)
     if event.revision < own.revision:
@@ -148,6 +149,7 @@
             state._own.name, f"notes/{event.revision}", UNNAMED_SPREAD_S
         )
         state._value_due_at_s[f"notes/{event.revision}"] = now_s + delay_s
+        state._head_due_at_s = now_s + delay_s
     return read_due(state, now_s)
 
 
--- a/src/chervilpitch/spread/rounds.py
+++ b/src/chervilpitch/spread/rounds.py
@@ -35,6 +35,8 @@
     effects: list[SpreadEffect] = []
     if state._fetch is not None and now_s >= state._fetch.until_s:
         effects.extend(drop_fetch(state))
+    if now_s >= state._served_until_s:
+        state._served = None
     effects.extend(progress(state, now_s))
     if not state._is_ready and ready(state, now_s):
         state._is_ready = True
--- a/src/chervilpitch/spread/transfer.py
+++ b/src/chervilpitch/spread/transfer.py
@@ -13,6 +13,7 @@
 
 SNAPSHOT_HEAD = "snapshot/head"
 PART_WAIT_S = 10.0
+SERVED_S = 60.0
 HEAD_PART = -1
 SERVED_NOTES = RECENT_NOTES // 2
 
@@ -127,7 +128,7 @@
 
 
 def serve_snapshot(
-    state: SpreadState, message: SnapshotRequest, peer: str
+    state: SpreadState, message: SnapshotRequest, peer: str, now_s: float
 ) -> tuple[SpreadEffect, ...]:
     """Answer a peer that asks for a part.
 
@@ -139,6 +140,8 @@
         The request.
     peer : str
         Name of the peer.
+    now_s : float
+        Monotonic time in seconds.
 
     Returns
     -------
@@ -149,6 +152,7 @@
     if message.part == HEAD_PART and not _is_served_recent(state):
         state._served = take_snapshot(current)
         state._served_revision = current.revision
+    state._served_until_s = now_s + SERVED_S
     served = state._served
     if served is None or message.revision not in (0, state._served_revision):
         return ()
--- a/tests/spread/test_rivals.py
+++ b/tests/spread/test_rivals.py
@@ -96,6 +96,22 @@
     assert fleet.in_force() == {fleet.platform.head}
 
 
+def test_decision_brings_back_a_side_that_has_gone_on_alone():
+    fleet, kept, lost = divided()
+    names = [n for n in fleet.states if fleet.in_force([n]) == {(3, lost)}]
+    fleet.split(names, set(fleet.states) - set(names))
+    fleet.down = set(fleet.states) - set(names)
+    further = fleet.platform.publish(follows=lost)
+    fleet.run(15)
+    assert fleet.in_force(names) == {(4, further)}
+    fleet.cuts, fleet.down = set(), set()
+    fleet.platform.head = (3, kept)
+    fleet.platform.publish(rate=30)
+    fleet.platform.publish(replaces=further)
+    fleet.run(60)
+    assert fleet.in_force() == {fleet.platform.head}
+
+
 def test_note_that_does_not_name_the_other_rival_leaves_it_in_force():
     fleet, kept, lost = divided()
     names = [n for n in fleet.states if fleet.in_force([n]) == {(3, lost)}]
--- a/tests/spread/test_single.py
+++ b/tests/spread/test_single.py
@@ -17,6 +17,7 @@
     platform_answered,
     ready,
     receive,
+    status,
     tick,
 )
 from chervilpitch.spread.advancing import replace_catalogue
@@ -130,6 +131,22 @@
     assert [note.revision for note in effect.message.notes] == [2, 3]
 
 
+def test_sign_of_the_platform_is_taken_only_from_a_peer_at_the_same_note():
+    state = alone(3)
+    receive(state, advert(2, DIGESTS[2]), PEER, 50.0)
+    assert status(state).platform_at_s < 0
+    receive(state, advert(3, DIGESTS[3]), PEER, 60.0)
+    assert status(state).platform_at_s == 60.0
+
+
+def test_snapshot_kept_for_peers_is_dropped_after_a_while():
+    state = alone(3)
+    (effect,) = receive(state, SnapshotRequest(0, -1), PEER, 1.0)
+    assert effect.message.part == -1
+    tick(state, 70.0)
+    assert receive(state, SnapshotRequest(3, 0), PEER, 71.0) == ()
+
+
 def test_memory_of_refused_notes_and_conflicts_is_bounded():
     state = alone(2)
     for number in range(300):
--- a/tests/spread/test_spread.py
+++ b/tests/spread/test_spread.py
@@ -3,7 +3,14 @@
 import pytest
 
 from chervilpitch.model import Sender
-from chervilpitch.spread import NotesReply, NoteText, SnapshotPart, receive, status
+from chervilpitch.spread import (
+    NotesReply,
+    NoteText,
+    PlatformValue,
+    SnapshotPart,
+    receive,
+    status,
+)
 from chervilpitch.spread.naive import NaiveSpread
 from tests.spread.fleet import Fleet, note_text, publish_snapshot
 
@@ -170,10 +177,19 @@
     assert fleet.in_force() == {fleet.platform.head}
 
 
+FIRST, FIRST_DIGEST = note_text(1, "")
+SECOND, _ = note_text(2, FIRST_DIGEST)
+
+
 def test_naive_version_goes_back_when_an_old_peer_sends_late():
     naive = NaiveSpread(())
-    first, name = note_text(1, "")
-    second, _ = note_text(2, name)
-    for text in (first, second, first):
+    for text in (FIRST, SECOND, FIRST):
         naive.receive(NoteText(0, text, True))
     assert naive.catalogue.revision == 1
+
+
+def test_naive_version_goes_back_when_a_replica_is_stale():
+    naive = NaiveSpread(())
+    for text in (FIRST, SECOND, FIRST):
+        naive.platform_answered(PlatformValue("notes/n", text.encode()))
+    assert naive.catalogue.revision == 1
