Start with what starting peers have in force; freeze processes in tests

Cause: when the whole fleet restarts, no peer is ready, and an instance at a stale replica could become ready below the others. Change: the revision in force at any peer is waited for; only answers of ready peers count as answers. The random schedules also freeze and wake processes.

--- a/src/chervilpitch/spread/exchange.py
+++ b/src/chervilpitch/spread/exchange.py
@@ -71,9 +71,9 @@
 ) -> tuple[SpreadEffect, ...]:
     chain = state.chain
     own = chain.catalogue
+    state._peers_revision = max(state._peers_revision, message.revision)
     if message.is_ready:
         state._answered.add(sender.name)
-        state._peers_revision = max(state._peers_revision, message.revision)
     if (message.newest_revision, message.newest_digest) == own[:2]:
         confirmed_at_s = now_s - max(0.0, message.platform_age_s)
         state._platform_at_s = max(state._platform_at_s, confirmed_at_s)
--- a/tests/spread/fleet.py
+++ b/tests/spread/fleet.py
@@ -78,7 +78,7 @@
         self.loss = loss
         self.now_s = 100.0
         self.platform = Platform()
-        self.down, self.behind, self.cuts = set(), {}, set()
+        self.down, self.behind, self.cuts, self.frozen = set(), {}, set(), set()
         self.bag, self.watches, self.events = [], {}, []
         self.reads = self.sent = 0
         self.revisions = {}
@@ -106,19 +106,25 @@
         """Let time pass."""
         for _ in range(round(seconds / STEP_S)):
             self.now_s += STEP_S
-            due = [entry for entry in self.bag if entry[0] <= self.now_s]
-            self.bag = [entry for entry in self.bag if entry[0] > self.now_s]
+            due = [entry for entry in self.bag if self.is_due(entry)]
+            self.bag = [entry for entry in self.bag if not self.is_due(entry)]
             self.random.shuffle(due)
             for _, to, message, sender in due:
                 effects = receive(self.states[to], message, sender, self.now_s)
                 self.carry_out(to, effects)
             self.answer_watches()
-            for name, state in self.states.items():
-                self.carry_out(name, tick(state, self.now_s))
+            for name in sorted(self.states.keys() - self.frozen):
+                self.carry_out(name, tick(self.states[name], self.now_s))
+
+    def is_due(self, entry):
+        """Whether a message arrives now; a frozen process reads none."""
+        return entry[0] <= self.now_s and entry[1] not in self.frozen
 
     def answer_watches(self):
         """Answer reads that need no longer wait."""
         for (name, value), (until_s, seen) in list(self.watches.items()):
+            if name in self.frozen:
+                continue
             event = self.answer(name, value)
             if until_s <= self.now_s or event != seen:
                 del self.watches[name, value]
--- a/tests/spread/test_schedules.py
+++ b/tests/spread/test_schedules.py
@@ -14,6 +14,7 @@
     st.tuples(st.just("stale"), some, st.integers(1, 4)),
     st.tuples(st.just("split"), some),
     st.tuples(st.just("one-way"), some, some),
+    st.tuples(st.just("freeze"), some),
     st.tuples(st.just("restart"), st.sampled_from(NAMES)),
     st.tuples(st.just("pause"), st.sampled_from([1, 4, 15])),
 )
@@ -32,6 +33,8 @@
             fleet.split(names, set(NAMES) - names)
         case ("one-way", origins, targets):
             fleet.cuts = {(a, b) for a in origins for b in targets}
+        case ("freeze", names):
+            fleet.frozen = names
         case ("restart", name):
             fleet.start(name)
         case ("pause", seconds):
@@ -44,7 +47,8 @@
     fleet = Fleet(len(NAMES), seed=seed, loss=loss)
     for action in schedule:
         act(fleet, action)
-    fleet.down, fleet.behind, fleet.cuts, fleet.loss = set(), {}, set(), 0.0
+    fleet.down, fleet.behind, fleet.cuts = set(), {}, set()
+    fleet.frozen, fleet.loss = set(), 0.0
     fleet.run(45)
     assert fleet.in_force() == {fleet.platform.head}
     assert fleet.are_ready()
--- a/tests/spread/test_single.py
+++ b/tests/spread/test_single.py
@@ -73,6 +73,13 @@
     assert not ready(state, 60.0)
 
 
+def test_revision_in_force_at_a_starting_peer_is_waited_for():
+    state = alone(2)
+    receive(state, advert(4, DIGESTS[4], is_ready=False), PEER, 1.0)
+    platform_answered(state, PlatformHead(2, DIGESTS[2]), 1.0)
+    assert not ready(state, 60.0)
+
+
 def test_note_below_the_head_waits_for_the_note_that_follows_it():
     state = alone(2)
     other, _ = note_text(3, DIGESTS[2], rate=7)
--- a/tests/spread/test_spread.py
+++ b/tests/spread/test_spread.py
@@ -99,6 +99,18 @@
     assert fleet.are_ready()
 
 
+def test_fleet_that_restarts_at_once_is_not_ready_at_a_stale_replicas_state():
+    fleet = started(notes=4)
+    fleet.behind = {"i3": 2, "i4": 2}
+    for name in sorted(fleet.states):
+        fleet.start(name)
+    for _ in range(80):
+        fleet.run(0.25)
+        for state in fleet.states.values():
+            assert not status(state).is_ready or status(state).revision == 4
+    assert fleet.are_ready()
+
+
 def test_instance_without_platform_and_peers_never_becomes_ready():
     fleet = Fleet(3)
     fleet.platform.publish()
@@ -135,6 +147,19 @@
     assert fleet.recorded("snapshot-in-force")
 
 
+def test_fresh_fleet_takes_the_snapshot_when_old_notes_are_gone():
+    fleet = Fleet(3)
+    for _ in range(6):
+        fleet.platform.publish()
+    publish_snapshot(fleet.platform)
+    fleet.platform.publish()
+    gone = {f"notes/{number}": b"" for number in range(1, 7)}
+    fleet.platform.put(gone, fleet.platform.head)
+    fleet.run(20)
+    assert fleet.in_force() == {fleet.platform.head}
+    assert fleet.are_ready()
+
+
 def test_unreadable_note_is_refused_and_the_next_head_is_followed():
     fleet = started()
     good = fleet.platform.head
