Judge only what time can change, so that a view at full size is cheap

Ruled out: keeping standings longer, which would slow detection.

Change: the list's own standings are built when the list changes, settled names are kept until there is news of them, and answers use a directory by seat and failure domain.

--- a/src/chervilpitch/membership/__init__.py
+++ b/src/chervilpitch/membership/__init__.py
@@ -14,14 +14,13 @@
 from .messages import Announcement, Hello, Unheard
 from .neighbours import neighbours
 from .placement import rank, weight
+from .snapshot import InstanceSnapshot, snapshot
 from .standing import Condition, Standing
 from .view import (
-    InstanceSnapshot,
     MembershipState,
     follow_list,
     instances,
     is_current,
-    snapshot,
     standings,
     view_age,
 )
--- a/src/chervilpitch/membership/address.py
+++ b/src/chervilpitch/membership/address.py
@@ -6,6 +6,7 @@
 
 from chervilpitch.model import region_of
 
+from .directory import Directory
 from .placement import weight
 from .standing import Condition, Standing
 from .view import MembershipState, is_current, standings
@@ -99,8 +100,8 @@
     near = state.own.failure_domain if caller_domain is None else caller_domain
     homes = state.home_seats.of(account, seats) if account else frozenset()
     key = f"{account}\0{caller}"
-    usable = [s for s in standings(state, now_s).values() if _is_usable(s)]
-    chosen = _shortlist(usable, homes, near, count)
+    directory = state.directories.of(standings(state, now_s))
+    chosen = _shortlist(directory, homes, near, count)
     ordered = sorted(
         chosen,
         key=lambda s: (
@@ -161,10 +162,6 @@
     return state.leaving_at_s + LIST_LAG_S + kept_s
 
 
-def _is_usable(standing: Standing) -> bool:
-    return standing.condition in (Condition.LIVE, Condition.SUSPECT)
-
-
 def _doubt(standing: Standing) -> _Doubt:
     if standing.condition is Condition.SUSPECT:
         return _Doubt.SUSPECT
@@ -180,27 +177,26 @@
 
 
 def _shortlist(
-    usable: Iterable[Standing], homes: Collection[int], near: str, count: int
+    directory: Directory, homes: Collection[int], near: str, count: int
 ) -> Sequence[Standing]:
     """Return the homes, and of the others the nearest domains that suffice."""
-    by_domain: dict[str, list[Standing]] = {}
-    chosen = []
-    for standing in usable:
-        if standing.instance.seat in homes:
-            chosen.append(standing)
-        else:
-            domain = standing.instance.failure_domain
-            by_domain.setdefault(domain, []).append(standing)
+    chosen = [one for seat in homes for one in directory.by_seat.get(seat, ())]
+    by_domain = directory.by_domain
     domains = sorted(by_domain, key=lambda domain: (_distance(near, domain), domain))
-    enough = SPARE_FACTOR * count
-    for position, domain in enumerate(domains):
-        certain = sum(_doubt(standing) is _Doubt.NONE for standing in chosen)
-        if position >= 2 and certain >= enough:
+    for domain in domains:
+        if _is_enough(chosen, count):
             break
-        chosen.extend(by_domain[domain])
+        others = (s for s in by_domain[domain] if s.instance.seat not in homes)
+        chosen.extend(others)
     return chosen
 
 
+def _is_enough(chosen: Iterable[Standing], count: int) -> bool:
+    certain = [s.instance for s in chosen if _doubt(s) is _Doubt.NONE]
+    domains = {instance.failure_domain for instance in certain}
+    return len(certain) >= SPARE_FACTOR * count and len(domains) > 1
+
+
 def _with_own_address(ordered: Iterable[Standing]) -> Sequence[Standing]:
     """Keep the first of several instances with one address."""
     by_address: dict[str, Standing] = {}
--- a/src/chervilpitch/membership/evidence.py
+++ b/src/chervilpitch/membership/evidence.py
@@ -74,6 +74,7 @@
         self._by_name: dict[str, dict[int, Evidence]] = {}
         self._news: dict[tuple[str, int], tuple[Announcement, int]] = {}
         self._catch_up: dict[str, list[Announcement]] = {}
+        self._heard_at_s: dict[str, float] = {}
         self._confirmed_at_s = -math.inf
 
     @property
@@ -135,10 +136,20 @@
             hears_us_at_s=hears_us_at_s,
         )
         self._store(heard)
+        self._heard_at_s[name] = now_s
         if hears_us:
             self._confirmed_at_s = now_s
         return True
 
+    def heard_names(self, now_s: float) -> frozenset[str]:
+        """Return the names whose heartbeats have arrived lately."""
+        self._heard_at_s = {
+            name: at_s
+            for name, at_s in self._heard_at_s.items()
+            if now_s - at_s <= SUSPECT_AFTER_S
+        }
+        return frozenset(self._heard_at_s)
+
     def take_news(self, limit: int) -> tuple[Announcement, ...]:
         """Return the news to relay in the next heartbeats; each goes out twice."""
         taken = list(self._news.items())[:limit]
--- a/src/chervilpitch/membership/heartbeats.py
+++ b/src/chervilpitch/membership/heartbeats.py
@@ -44,7 +44,7 @@
         return _refuse_own_name(state, sender)
     known = state.evidence.by_name.get(sender.name, {})
     if sender.incarnation not in known or known[sender.incarnation].sequence < 0:
-        state.evidence.begin_catch_up(sender.name, state.listed)
+        state.evidence.begin_catch_up(sender.name, state.followed.instances)
     effects = list(_learn(state, _announcement_of(message, sender), now_s))
     hears_us = message.heard_incarnation == state.incarnation
     is_newer = state.evidence.hear(
@@ -52,7 +52,7 @@
     )
     if not is_newer:
         return tuple(effects)
-    state.revive(sender.name)
+    state.survey.revive([sender.name])
     for relayed in message.announcements:
         effects.extend(_learn(state, relayed, now_s))
     for report in message.unheard:
@@ -84,7 +84,9 @@
         effects.append(_record("woke-late", state.own.name, detail))
     if not state.schedule.take_hello_turn(now_s):
         return tuple(effects)
-    state.evidence.forget_before(now_s - MEMORY_S)
+    if state.schedule.take_forget_turn(now_s):
+        state.evidence.forget_before(now_s - MEMORY_S)
+        state.followed.forget_before(now_s - MEMORY_S)
     state.silence.forget_expired(now_s)
     effects.extend(review(state, now_s))
     _report_silence(state, now_s)
@@ -110,7 +112,7 @@
     """
     if state.leaving_at_s is not None:
         return ()
-    state.leaving_at_s = now_s
+    state.note_leaving(now_s)
     state.schedule.next_announcement()
     state.schedule.hurry_hello(now_s)
     return (_record("leaving", state.own.name), *tick(state, now_s))
@@ -140,7 +142,7 @@
     relay = _is_worth_relaying(state, announcement)
     if not state.evidence.learn(announcement, relay, now_s):
         return
-    state.revive(name)
+    state.survey.revive([name])
     if is_new:
         state.silence.clear(name)
         detail = f"incarnation {announcement.incarnation:016x}"
@@ -150,12 +152,12 @@
 def _is_worth_relaying(state: MembershipState, announcement: Announcement) -> bool:
     """Return whether others cannot know the same from the published list."""
     name = announcement.name
-    if announcement.leaving or name not in state.listed:
+    if announcement.leaving or name not in state.followed.instances:
         return True
     others = state.evidence.by_name.get(name, {}).keys() - {announcement.incarnation}
     if others or name in state.silence.subjects:
         return True
-    listed = state.listed[name]
+    listed = state.followed.instances[name]
     told = (announcement.seat, announcement.callers_address, announcement.peers_address)
     return told != (listed.seat, listed.callers_address, listed.peers_address)
 
@@ -197,7 +199,7 @@
 def _announce_again(state: MembershipState, now_s: float) -> None:
     """Announce anew an instance that the list does not show for a long time."""
     is_due = state.schedule.take_announcement_turn(now_s)
-    if is_due and state.own.name not in state.listed:
+    if is_due and state.own.name not in state.followed.instances:
         state.schedule.next_announcement()
 
 
@@ -216,11 +218,8 @@
 
 def _receivers(state: MembershipState, now_s: float) -> list[str]:
     """Return the neighbours and others that send heartbeats here."""
-    others = [
-        name
-        for name in state.evidence.by_name
-        if name not in state.expected_since_s and _heard_incarnation(state, name, now_s)
-    ]
+    heard = state.evidence.heard_names(now_s)
+    others = heard - state.expected_since_s.keys()
     return sorted(state.expected_since_s) + sorted(others)[:CORRESPONDENTS]
 
 
@@ -237,7 +236,7 @@
         serial=state.schedule.announcement_serial,
         sequence=state.schedule.next_sequence(),
         heard_incarnation=0,
-        list_digest=state.list_digest,
+        list_digest=state.followed.digest,
         announcements=state.evidence.take_news(ANNOUNCEMENTS_PER_HELLO),
         unheard=state.silence.take_news(REPORTS_PER_HELLO, now_s),
     )
--- a/src/chervilpitch/membership/schedule.py
+++ b/src/chervilpitch/membership/schedule.py
@@ -4,6 +4,7 @@
 
 HELLO_PERIOD_S = 1.0
 ANNOUNCE_AGAIN_S = 1_200.0
+FORGET_PERIOD_S = 60.0
 
 
 class Schedule:
@@ -19,6 +20,7 @@
         self._ticked_at_s = now_s
         self._hello_at_s = now_s
         self._announce_at_s = now_s + ANNOUNCE_AGAIN_S
+        self._forget_at_s = now_s + FORGET_PERIOD_S
         self._sequence = 0
         self._announcement_serial = 1
         self._report_serial = 0
@@ -53,6 +55,13 @@
         self._announce_at_s = now_s + ANNOUNCE_AGAIN_S
         return True
 
+    def take_forget_turn(self, now_s: float) -> bool:
+        """Return whether to forget old news, and set the next deadline if so."""
+        if now_s < self._forget_at_s:
+            return False
+        self._forget_at_s = now_s + FORGET_PERIOD_S
+        return True
+
     def hurry_hello(self, now_s: float) -> None:
         """Make heartbeats due at once."""
         self._hello_at_s = now_s
--- a/src/chervilpitch/observe/picture.py
+++ b/src/chervilpitch/observe/picture.py
@@ -1,5 +1,6 @@
 """The merged time line as a picture: a lane per instance, colours by part."""
 
+import html
 import xml.etree.ElementTree as ET
 from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
@@ -17,7 +18,7 @@
 AXIS_HEIGHT = 30
 MARK_WIDTH = 3
 MARK_HEIGHT = 13
-LEGEND_STEP = 105
+LEGEND_STEP = 88
 TICKS = 10
 TITLE_EVENTS = 8
 NS_PER_S = 1_000_000_000
@@ -36,6 +37,14 @@
     GAP_PART: "#bbbbbb",
 }
 OTHER_COLOUR = "#444444"
+PAGE = """<!DOCTYPE html>
+<html lang="en">
+<head><meta charset="utf-8"><title>{title}</title></head>
+<body><h1>{title}</h1>
+{picture}
+</body>
+</html>
+"""
 STYLE = "text{font:11px sans-serif;fill:#222}.axis{fill:#666}"
 
 
@@ -120,15 +129,8 @@
     str
         An HTML document.
     """
-    page = ET.Element("html", lang="en")
-    head = ET.SubElement(page, "head")
-    ET.SubElement(head, "meta", charset="utf-8")
-    ET.SubElement(head, "title").text = title
-    body = ET.SubElement(page, "body")
-    ET.SubElement(body, "h1").text = title
-    body.append(ET.fromstring(render_svg(entries)))
-    ET.register_namespace("", "http://www.w3.org/2000/svg")
-    return "<!DOCTYPE html>\n" + ET.tostring(page, encoding="unicode", method="html")
+    heading = html.escape(title)
+    return PAGE.format(title=heading, picture=render_svg(entries))
 
 
 def _part(entry: StampedEvent | Gap) -> str:
