Read only the changed sections of a published list

Ruled out: reading it less often, which would add to its lag; another parser.

Change: the text is split at its section headers and each section's result is kept; the digest no longer writes the list out. One test changed: a repeated section is now named as such (duplicate-section) and still refused whole.

--- a/src/chervilpitch/membership/__init__.py
+++ b/src/chervilpitch/membership/__init__.py
@@ -1,28 +1,22 @@
 """Instances of the fleet: who is there and what is placed where."""
 
 from .address import AddressAnswer, answer, linger_until, not_after_s
+from .freshness import is_current, view_age
 from .heartbeats import begin_leaving, receive, tick
 from .homeseats import HomeSeats
 from .leaving import LeavePhase, LeavingState, Load, advance, request_stop
-from .listing import (
-    ListProblem,
-    ListProblemKind,
-    format_instances,
-    parse_instances,
-    shared_seats,
-)
+from .listing import format_instances, parse_instances, shared_seats
 from .messages import Announcement, Hello, Unheard
 from .neighbours import neighbours
 from .placement import rank, weight
+from .section import ListProblem, ListProblemKind
 from .snapshot import InstanceSnapshot, snapshot
 from .standing import Condition, Standing
 from .view import (
     MembershipState,
     follow_list,
     instances,
-    is_current,
     standings,
-    view_age,
 )
 
 __all__ = [
--- a/src/chervilpitch/membership/address.py
+++ b/src/chervilpitch/membership/address.py
@@ -7,9 +7,10 @@
 from chervilpitch.model import region_of
 
 from .directory import Directory
+from .freshness import is_current
 from .placement import weight
 from .standing import Condition, Standing
-from .view import MembershipState, is_current, standings
+from .view import MembershipState, standings
 
 __all__ = ["AddressAnswer", "answer", "linger_until", "not_after_s"]
 
--- a/src/chervilpitch/membership/following.py
+++ b/src/chervilpitch/membership/following.py
@@ -7,7 +7,6 @@
 
 from chervilpitch.model import Instance, InstanceState
 
-from .listing import format_instances
 from .standing import Condition, Standing
 
 __all__ = ["FollowedList"]
@@ -81,7 +80,7 @@
             self._note_state(instances[name], now_s)
         self._instances = dict(instances)
         self._as_listed = {name: _standing(one) for name, one in instances.items()}
-        text = format_instances(instances)
+        text = repr(sorted(instances.values()))
         self._digest = xxhash.xxh3_64_intdigest(text.encode())
         return frozenset(gone | changed)
 
--- a/src/chervilpitch/membership/heartbeats.py
+++ b/src/chervilpitch/membership/heartbeats.py
@@ -5,8 +5,9 @@
 from chervilpitch.model import Effect, Event, Instance, Record, Send, Sender
 
 from .evidence import SUSPECT_AFTER_S, is_heard
+from .freshness import PAUSE_S
 from .messages import Announcement, Hello, Unheard
-from .view import PAUSE_S, MembershipState, review
+from .view import MembershipState, review
 
 __all__ = ["begin_leaving", "receive", "tick"]
 
--- a/src/chervilpitch/membership/listing.py
+++ b/src/chervilpitch/membership/listing.py
@@ -10,77 +10,30 @@
     state = live
 """
 
-import configparser
 import io
-import ipaddress
 import re
 from collections.abc import Iterator, Mapping
-from enum import StrEnum
-from typing import NamedTuple
 
 from result import Err, Ok, Result
 
 from chervilpitch.model import Instance, InstanceState
 
+from .section import (
+    SECTION_PREFIX,
+    ListProblem,
+    ListProblemKind,
+    ini_parser,
+    read_section,
+)
+
 __all__ = [
-    "ListProblem",
-    "ListProblemKind",
     "format_instances",
     "parse_instances",
     "shared_seats",
 ]
 
-SECTION_PREFIX = "instance "
-OPTIONS = ("seat", "failure-domain", "callers", "peers", "state")
+SECTION_START = re.compile(r"^(?=\[)", re.MULTILINE)
 MAX_LIST_BYTES = 1 << 20
-MAX_PORT = 65_535
-MAX_SEAT = 1 << 20
-NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
-FAILURE_DOMAIN = re.compile(r"[a-z0-9][a-z0-9._-]*/[a-z0-9][a-z0-9._-]*")
-
-
-class ListProblemKind(StrEnum):
-    """What is wrong with a published list."""
-
-    NOT_TEXT = "not-text"
-    NOT_INI = "not-ini"
-    TOO_LARGE = "too-large"
-    EMPTY = "empty"
-    BAD_SECTION = "bad-section"
-    BAD_NAME = "bad-name"
-    MISSING_OPTION = "missing-option"
-    UNKNOWN_OPTION = "unknown-option"
-    BAD_VALUE = "bad-value"
-    DUPLICATE_ADDRESS = "duplicate-address"
-    SEAT_IN_TWO_DOMAINS = "seat-in-two-domains"
-
-
-class ListProblem(NamedTuple):
-    """One problem of a published list.
-
-    Parameters
-    ----------
-    kind : ListProblemKind
-        What is wrong.
-    section : str
-        Section concerned; empty for the whole text.
-    option : str
-        Option concerned; empty for the whole section.
-    detail : str
-        The value or the reason as short text.
-    """
-
-    kind: ListProblemKind
-    section: str = ""
-    option: str = ""
-    detail: str = ""
-
-
-class _Entry(NamedTuple):
-    """One section while it is checked."""
-
-    section: str
-    options: Mapping[str, str]
 
 
 def parse_instances(
@@ -107,24 +60,25 @@
     >>> parse_instances("").err()[0].kind
     <ListProblemKind.EMPTY: 'empty'>
     """
-    loaded = _load(text)
+    loaded = _text_of(text)
     if loaded.is_err():
         return loaded
     problems: list[ListProblem] = []
     instances: dict[str, Instance] = {}
-    for entry in loaded.ok():
-        found = tuple(_entry_problems(entry))
-        problems.extend(found)
-        if not found:
-            instance = _instance(entry)
-            instances[instance.name] = instance
+    for block in _blocks(loaded.ok()):
+        read = read_section(block)
+        if read.is_err():
+            problems.extend(read.err())
+        elif read.ok().name in instances:
+            section = SECTION_PREFIX + read.ok().name
+            problems.append(ListProblem(ListProblemKind.DUPLICATE_SECTION, section))
+        else:
+            instances[read.ok().name] = read.ok()
     problems.extend(_address_problems(instances))
     problems.extend(_seat_problems(instances))
-    if problems:
-        return Err(tuple(problems))
-    if not instances:
-        return Err((ListProblem(ListProblemKind.EMPTY),))
-    return Ok(instances)
+    if not (problems or instances):
+        problems.append(ListProblem(ListProblemKind.EMPTY))
+    return Err(tuple(problems)) if problems else Ok(instances)
 
 
 def format_instances(instances: Mapping[str, Instance]) -> str:
@@ -146,7 +100,7 @@
     >>> parse_instances(format_instances({"a": one})).ok() == {"a": one}
     True
     """
-    parser = _parser()
+    parser = ini_parser()
     for instance in sorted(instances.values(), key=lambda i: (i.seat, i.name)):
         parser[SECTION_PREFIX + instance.name] = {
             "seat": str(instance.seat),
@@ -180,84 +134,31 @@
     return {seat: tuple(sorted(n)) for seat, n in names.items() if len(n) > 1}
 
 
-def _parser() -> configparser.ConfigParser:
-    return configparser.ConfigParser(interpolation=None, default_section="")
-
-
-def _load(text: str | bytes) -> Result[list[_Entry], tuple[ListProblem, ...]]:
+def _text_of(text: str | bytes) -> Result[str, tuple[ListProblem, ...]]:
     if len(text) > MAX_LIST_BYTES:
         return Err((ListProblem(ListProblemKind.TOO_LARGE, detail=str(len(text))),))
-    if isinstance(text, bytes):
-        try:
-            text = text.decode()
-        except UnicodeDecodeError as error:
-            return Err((ListProblem(ListProblemKind.NOT_TEXT, detail=error.reason),))
-    parser = _parser()
-    try:
-        parser.read_string(text)
-    except configparser.Error as error:
-        detail = error.message.splitlines()[0]
-        return Err((ListProblem(ListProblemKind.NOT_INI, detail=detail),))
-    return Ok([_Entry(name, dict(parser[name])) for name in parser.sections()])
-
-
-def _entry_problems(entry: _Entry) -> Iterator[ListProblem]:
-    section = entry.section
-    if not section.startswith(SECTION_PREFIX):
-        yield ListProblem(ListProblemKind.BAD_SECTION, section)
-        return
-    if not NAME.fullmatch(section.removeprefix(SECTION_PREFIX)):
-        yield ListProblem(ListProblemKind.BAD_NAME, section)
-    for option in entry.options:
-        if option not in OPTIONS:
-            yield ListProblem(ListProblemKind.UNKNOWN_OPTION, section, option)
-    for option in OPTIONS:
-        if option not in entry.options:
-            yield ListProblem(ListProblemKind.MISSING_OPTION, section, option)
-        elif not _is_valid(option, entry.options[option]):
-            detail = entry.options[option]
-            yield ListProblem(ListProblemKind.BAD_VALUE, section, option, detail)
-
-
-def _is_valid(option: str, value: str) -> bool:
-    if option == "seat":
-        return value.isascii() and value.isdecimal() and _fits(value, MAX_SEAT)
-    if option == "failure-domain":
-        return FAILURE_DOMAIN.fullmatch(value) is not None
-    if option == "state":
-        return value in set(InstanceState)
-    return _is_address(value)
-
-
-def _fits(digits: str, largest: int) -> bool:
-    return len(digits) <= len(str(largest)) and int(digits) <= largest
-
-
-def _is_address(value: str) -> bool:
-    host, _, port = value.rpartition(":")
-    if not (port.isascii() and port.isdecimal() and _fits(port, MAX_PORT)):
-        return False
-    if host.startswith("[") and host.endswith("]"):
-        host = host[1:-1]
-    elif ":" in host:
-        return False
+    if isinstance(text, str):
+        return Ok(text)
     try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    return int(port) > 0
-
-
-def _instance(entry: _Entry) -> Instance:
-    options = entry.options
-    return Instance(
-        name=entry.section.removeprefix(SECTION_PREFIX),
-        seat=int(options["seat"]),
-        failure_domain=options["failure-domain"],
-        callers_address=options["callers"],
-        peers_address=options["peers"],
-        state=InstanceState(options["state"]),
-    )
+        return Ok(text.decode())
+    except UnicodeDecodeError as error:
+        return Err((ListProblem(ListProblemKind.NOT_TEXT, detail=error.reason),))
+
+
+def _blocks(text: str) -> Iterator[str]:
+    """Yield the text of each section, and what stands before the first.
+
+    A section header is the only line of INI text that begins with a bracket.
+    """
+    before, *blocks = SECTION_START.split(text)
+    if not all(map(_is_remark, before.splitlines())):
+        yield before
+    for block in blocks:
+        yield block.rstrip()
+
+
+def _is_remark(line: str) -> bool:
+    return not line.strip() or line.lstrip().startswith(("#", ";"))
 
 
 def _address_problems(instances: Mapping[str, Instance]) -> Iterator[ListProblem]:
--- a/src/chervilpitch/membership/view.py
+++ b/src/chervilpitch/membership/view.py
@@ -17,15 +17,10 @@
     "MembershipState",
     "follow_list",
     "instances",
-    "is_current",
     "review",
     "standings",
-    "view_age",
 ]
 
-PAUSE_S = 3.0
-CURRENT_FOR_S = 10.0
-
 
 class MembershipState:
     """State of the membership part of one instance.
@@ -264,42 +259,3 @@
         for name, standing in standings(state, now_s).items()
         if standing.condition is not Condition.GONE
     }
-
-
-def view_age(state: MembershipState, now_s: float) -> float:
-    """Return how long ago the list or a two-way heartbeat confirmed the view.
-
-    Parameters
-    ----------
-    state : MembershipState
-        State.
-    now_s : float
-        Monotonic time in seconds.
-
-    Returns
-    -------
-    float
-        Age in seconds; infinite when nothing has confirmed it.
-    """
-    confirmed_at_s = max(state.followed.read_at_s, state.evidence.confirmed_at_s)
-    return now_s - confirmed_at_s
-
-
-def is_current(state: MembershipState, now_s: float) -> bool:
-    """Return whether the view may be trusted after a pause or a cut.
-
-    Parameters
-    ----------
-    state : MembershipState
-        State.
-    now_s : float
-        Monotonic time in seconds.
-
-    Returns
-    -------
-    bool
-        False when the process has not run for seconds or heard nothing lately.
-    """
-    if now_s - state.schedule.ticked_at_s > PAUSE_S:
-        return False
-    return view_age(state, now_s) <= CURRENT_FOR_S
--- a/tests/membership/test_listing.py
+++ b/tests/membership/test_listing.py
@@ -33,7 +33,7 @@
     [
         (b"\xff\xfe", KIND.NOT_TEXT),
         ("seat = 0", KIND.NOT_INI),
-        (GOOD + GOOD, KIND.NOT_INI),
+        (GOOD + GOOD, KIND.DUPLICATE_SECTION),
         ("x" * 2_000_000, KIND.TOO_LARGE),
         ("\n", KIND.EMPTY),
         (GOOD + "[thing]\n", KIND.BAD_SECTION),
@@ -54,6 +54,10 @@
     assert kind in kinds(text)
 
 
+def test_comments_before_the_first_section_are_passed_over():
+    assert list(parse_instances("# published at noon\n; twice" + GOOD).ok()) == ["a"]
+
+
 def test_every_problem_is_named():
     text = GOOD.replace("live", "dead") + OTHER.replace("seat = 0", "seat = x")
     assert kinds(text) == [KIND.BAD_VALUE, KIND.BAD_VALUE]
