Stop gracefully; deliver every message to its core

Cause: heartbeats could not be coded after the arguments of the membership state changed places (a float in a whole-number field), so peers stayed suspect and a leaving instance stayed in the address answers; handed-over outcomes were passed with their arguments in the wrong order. Ruled out: preferring the killed incarnation's evidence; with heartbeats coded the address answers drop the leaving instance.

--- a/src/chervilpitch/pipeline/filters.py
+++ b/src/chervilpitch/pipeline/filters.py
@@ -91,7 +91,7 @@
     Result
         The exchange with its record, with a recorded answer, or a refusal.
     """
-    if exchange.route.idempotent:
+    if exchange.route.idempotent and exchange.request.ticket is None:
         return Ok(exchange)
     return decisions.begin(exchange).and_then(
         lambda entry: _with_record(exchange, entry)
--- a/src/chervilpitch/pipeline/forward.py
+++ b/src/chervilpitch/pipeline/forward.py
@@ -50,7 +50,12 @@
         """Return the exchange with the answer to deliver, or a refusal."""
         if exchange.recorded is not None:
             return Ok(exchange)
-        outcome = self._attempts(exchange)
+        try:
+            outcome = self._attempts(exchange)
+        except BaseException:
+            failed = Refusal(RefusalKind.UPSTREAM_FAILED, RunState.UNKNOWN)
+            close_record(self._decisions, exchange, failed)
+            raise
         if outcome.is_err():
             close_record(self._decisions, exchange, outcome.unwrap_err())
         return outcome
@@ -121,7 +126,7 @@
     def _request(self, exchange, timeout_s):
         request = exchange.request
         headers = request.headers + (
-            (REQUEST_ID_HEADER, request.request_id),
+            (REQUEST_ID_HEADER, exchange.record_id or request.request_id),
             (TIMEOUT_HEADER, str(max(1, int(timeout_s * MS_PER_S)))),
         )
         return UpstreamRequest(
@@ -132,7 +137,7 @@
             body=_body(request.body),
             timeout_s=timeout_s,
             connections=exchange.reservation.connections,
-            fresh=not exchange.route.idempotent,
+            fresh=exchange.record_id is not None,
         )
 
     def _fail(self, exchange, failure, sent_at_s=None):
--- a/src/chervilpitch/runtime/control.py
+++ b/src/chervilpitch/runtime/control.py
@@ -167,7 +167,7 @@
 
     @_take.register
     def _(self, message: requests.FinalOutcomes, sender, now_s):
-        return requests.receive(self._cores.records, message, sender, now_s)
+        return requests.receive(message, self._cores.records, sender, now_s)
 
     @_take.register
     def _(
--- a/src/chervilpitch/runtime/cores.py
+++ b/src/chervilpitch/runtime/cores.py
@@ -61,6 +61,6 @@
         self.freshness = accounts.Freshness(own)
         self.questions = accounts.QuestionState(self.freshness)
         self.membership = membership.MembershipState(
-            own, incarnation, started_wall_ms, clock()
+            own, incarnation, clock(), started_wall_ms
         )
         self.spread = spread.SpreadState(own, clock())
