--- /dev/null
+++ b/benchmarks/bare_hop.py
@@ -0,0 +1,45 @@
+"""A bare hop from cheroot to urllib3, without any filter, to compare with."""
+
+import argparse
+
+import urllib3
+from cheroot import wsgi
+
+__all__ = ["BareHop", "main"]
+
+
+class BareHop:
+    """WSGI application that passes every request to one upstream.
+
+    Parameters
+    ----------
+    upstream : str
+        Host and port.
+    """
+
+    def __init__(self, upstream):
+        host, _, port = upstream.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=32, block=True)
+
+    def __call__(self, environ, start_response):
+        answer = self._pool.urlopen(
+            environ["REQUEST_METHOD"], environ["PATH_INFO"], retries=False
+        )
+        length = ("Content-Length", str(len(answer.data)))
+        start_response(f"{answer.status} OK", [length])
+        return [answer.data]
+
+
+def main():
+    """Run the hop until it is ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", required=True, help="host:port")
+    parser.add_argument("--upstream", required=True, help="host:port")
+    arguments = parser.parse_args()
+    host, _, port = arguments.listen.rpartition(":")
+    hop = BareHop(arguments.upstream)
+    wsgi.Server((host, int(port)), hop, numthreads=32).safe_start()
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -104,7 +104,7 @@
 
     def start_platform(self):
         """Start the stand-in for the configuration service."""
-        self._start(
+        self.start_module(
             "platform",
             "standins.platform",
             "--listen",
@@ -126,7 +126,7 @@
         """Start an upstream and return its address."""
         address = free_address()
         self._upstreams[name] = address
-        self._start(
+        self.start_module(
             name,
             "standins.upstream",
             "--listen",
@@ -194,7 +194,7 @@
         place = self._places[name]
         path = self._directory / f"{name}.ini"
         path.write_text(self._settings(place, stop_within_s, callers))
-        self._start(name, "chervilpitch", "serve", path)
+        self.start_module(name, "chervilpitch", "serve", path)
         wait_for(place.callers)
 
     def wait_for_revision(self, revision, names=None):
@@ -212,7 +212,8 @@
         process.send_signal(number)
         return process.wait(STOP_WITHIN_S)
 
-    def _start(self, name, module, *arguments):
+    def start_module(self, name, module, *arguments):
+        """Start a module as a process whose output goes to its log."""
         command = [sys.executable, "-m", module, *map(str, arguments)]
         environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
         with open(self._directory / f"{name}.log", "a") as log:
