One home seat in each region; tests of tenure, lending and changes

Cause: small accounts were refused because their burst was cut into many parts. Change: homes are counted per region and spread over its failure domains; one each. Conclusion: fewer homes serve small bursts; an instance that dies idles a larger part for about eleven seconds.

--- a/src/chervilpitch/limits/state.py
+++ b/src/chervilpitch/limits/state.py
@@ -7,7 +7,7 @@
 
 from .borrowing import BORROWED_SPAN_S, Borrowing
 from .bucket import MAX_CLOCK_DRIFT, Bucket
-from .homes import HOMES_PER_FAILURE_DOMAIN, home_seats
+from .homes import HOMES_PER_REGION, home_seats
 from .tenure import Tenure
 
 __all__ = ["LENT_SPAN_S", "LimitState", "PendingRequest"]
@@ -49,8 +49,8 @@
         Name and incarnation of this instance.
     seat : int or None
         Seat that it takes; None mints nothing and only borrows.
-    homes_per_failure_domain : int, optional
-        Number of seats in each failure domain that mint an account's rate; the
+    homes_per_region : int, optional
+        Number of seats in each region that mint an account's rate; the
         same on all instances.
     """
 
@@ -58,10 +58,10 @@
         self,
         own: Sender,
         seat: int | None,
-        homes_per_failure_domain: int = HOMES_PER_FAILURE_DOMAIN,
+        homes_per_region: int = HOMES_PER_REGION,
     ):
         self._own = own
-        self._homes_per_failure_domain = homes_per_failure_domain
+        self._homes_per_region = homes_per_region
         self._tenure = Tenure(own.incarnation, seat)
         self._catalogue: Catalogue = EMPTY_CATALOGUE
         self._holders: dict[int, tuple[str, ...]] = {}
@@ -120,7 +120,7 @@
         homes = self._homes.get(account)
         if homes is None:
             seats = self._catalogue.seats
-            homes = home_seats(account, seats, self._homes_per_failure_domain)
+            homes = home_seats(account, seats, self._homes_per_region)
             self._homes[account] = homes
         return homes
 
--- /dev/null
+++ b/tests/limits/test_catalogue_changes.py
@@ -0,0 +1,83 @@
+"""A new catalogue fills no bucket."""
+
+import pytest
+
+from chervilpitch.limits import admit
+from chervilpitch.model import ClientAccount, RefusalKind
+from tests.limits.fleet import Fleet, catalogue_of, overshoot, seat_table
+
+SEATS = seat_table(2, 1, 4)
+SLOW = ClientAccount("fitters", 10.0, 20.0)
+FAST = ClientAccount("fitters", 30.0, 60.0)
+
+
+def press(fleet):
+    for node in fleet.nodes.values():
+        while fleet.request(node, "fitters"):
+            pass
+
+
+def started(account):
+    fleet = Fleet(catalogue_of((account,), SEATS))
+    fleet.start_all()
+    fleet.run(20)
+    return fleet
+
+
+@pytest.mark.parametrize("before, after", [(SLOW, FAST), (FAST, SLOW)])
+def test_a_change_seen_by_some_only_stays_within_the_greater(before, after):
+    fleet = started(before)
+    fleet.run(3, press)
+    for node in list(fleet.nodes.values())[::2]:
+        fleet.put_in_force(node, catalogue_of((after,), SEATS, 2))
+    fleet.run(5, press)
+    for node in fleet.nodes.values():
+        fleet.put_in_force(node, catalogue_of((after,), SEATS, 2))
+    fleet.run(5, press)
+    assert overshoot(fleet.admitted, FAST) == 0
+
+
+def test_a_raised_burst_is_not_filled_by_the_change():
+    fleet = started(SLOW)
+    for node in fleet.nodes.values():
+        fleet.put_in_force(node, catalogue_of((FAST,), SEATS, 2))
+    press(fleet)
+    assert len(fleet.admitted) <= SLOW.burst
+
+
+def test_an_account_withdrawn_and_added_again_starts_empty():
+    fleet = started(SLOW)
+    press(fleet)
+    for accounts, revision in (((), 2), ((SLOW,), 3)):
+        for node in fleet.nodes.values():
+            fleet.put_in_force(node, catalogue_of(accounts, SEATS, revision))
+    fleet.run(10, press)
+    assert overshoot(fleet.admitted, SLOW) == 0
+
+
+def test_a_withdrawn_account_is_refused():
+    fleet = started(SLOW)
+    node = fleet.nodes["n0"]
+    fleet.put_in_force(node, catalogue_of((), SEATS, 2))
+    assert not fleet.request(node, "fitters")
+
+
+def test_a_refusal_says_that_the_request_was_not_run():
+    fleet = started(SLOW)
+    press(fleet)
+    node = fleet.nodes["n0"]
+    refusal = admit(node.state, "fitters", node.clock(fleet.now_s)).unwrap_err()
+    assert refusal.kind is RefusalKind.RATE_EXCEEDED
+    assert refusal.run == "not-run" and refusal.retry_at_s > fleet.now_s
+
+
+def test_seats_declared_anew_for_some_instances_only_do_not_overshoot():
+    fleet = started(FAST)
+    moved = dict(SEATS)
+    homes = fleet.nodes["n0"].state.homes("fitters")
+    del moved[homes[0]]
+    for node in fleet.nodes.values():
+        if node.seat != homes[0]:
+            fleet.put_in_force(node, catalogue_of((FAST,), moved, 2))
+    fleet.run(40, press)
+    assert overshoot(fleet.admitted, FAST) == 0
--- /dev/null
+++ b/tests/limits/test_lending.py
@@ -0,0 +1,96 @@
+"""Loans between instances."""
+
+from chervilpitch.limits import core, lending
+from chervilpitch.limits.messages import Grant, Loan, TokenRequest, Want
+from chervilpitch.model import ClientAccount, Send, Sender
+from tests.limits.fleet import Fleet, catalogue_of, seat_table
+
+SEATS = seat_table(3, 2, 2)
+ACCOUNT = ClientAccount("fitters", 30.0, 30.0)
+
+
+def started():
+    fleet = Fleet(catalogue_of((ACCOUNT,), SEATS))
+    fleet.start_all()
+    fleet.run(20)
+    homes = fleet.nodes["n0"].state.homes("fitters")
+    other = next(n for n in fleet.nodes.values() if n.seat not in homes)
+    return fleet, fleet.nodes[f"n{homes[0]}"], other
+
+
+def level(fleet, node):
+    return node.state.bucket(ACCOUNT, node.clock(fleet.now_s)).level(fleet.now_s)
+
+
+def test_callers_on_one_instance_get_nearly_the_whole_rate():
+    fleet, _, other = started()
+    fleet.run(10, lambda fleet: fleet.request(other, "fitters"))
+    assert len(fleet.admitted) > 0.97 * 10 * 20
+
+
+def test_a_repeated_request_takes_the_tokens_once():
+    fleet, home, other = started()
+    request = TokenRequest(1, (Want("fitters", 4.0),))
+    for _ in range(2):
+        core.receive(home.state, request, other.sender, fleet.now_s)
+    assert level(fleet, home) == 6.0
+
+
+def test_a_repeated_or_unasked_grant_adds_nothing():
+    fleet, home, other = started()
+    fleet.request(other, "fitters")
+    send, *_ = core.ask_for_account(other.state, "fitters", fleet.now_s)
+    grant = Grant(send.message.number, True, (Loan("fitters", 1.0),))
+    sender = fleet.nodes[send.to].sender
+    for _ in range(3):
+        core.receive(other.state, grant, sender, fleet.now_s)
+    core.receive(other.state, grant._replace(number=99), sender, fleet.now_s)
+    assert other.state.borrowings["fitters"].tokens(fleet.now_s) == 1.0
+
+
+def test_a_grant_of_another_instance_adds_nothing():
+    fleet, home, other = started()
+    fleet.request(other, "fitters")
+    send, *_ = core.ask_for_account(other.state, "fitters", fleet.now_s)
+    grant = Grant(send.message.number, True, (Loan("fitters", 1.0),))
+    core.receive(other.state, grant, Sender("stranger", 1), fleet.now_s)
+    assert other.state.borrowings["fitters"].tokens(fleet.now_s) == 0.0
+
+
+def test_a_loan_may_not_be_spent_after_its_deadline():
+    fleet, home, other = started()
+    fleet.run(1, lambda fleet: fleet.request(other, "fitters"))
+    assert other.state.borrowings["fitters"].tokens(fleet.now_s) > 0
+    assert other.state.borrowings["fitters"].tokens(fleet.now_s + 2) == 0.0
+
+
+def test_a_dead_home_is_asked_no_more_for_a_while():
+    fleet, home, other = started()
+    home.dead = True
+    fleet.run(5, lambda fleet: [fleet.request(other, "fitters") for _ in range(3)])
+    assert other.state.is_avoided(home.sender.name, fleet.now_s)
+
+
+def test_an_idle_instance_sends_claims_only():
+    fleet, _, other = started()
+    sends = []
+    for step in range(40):
+        sends += core.tick(other.state, fleet.now_s + step * 0.05)
+    assert {type(s.message).__name__ for s in sends if isinstance(s, Send)} == {"Claim"}
+    assert not other.state.borrowings and len(sends) <= 9
+
+
+def test_a_leaving_instance_hands_its_loans_back():
+    fleet, home, other = started()
+    fleet.run(1, lambda fleet: fleet.request(other, "fitters"))
+    sends = core.leaving(other.state, fleet.now_s)
+    requests = [s.message for s in sends if isinstance(s.message, TokenRequest)]
+    assert any(r.closings for r in requests)
+
+
+def test_an_expired_request_is_forgotten():
+    fleet, home, other = started()
+    fleet.request(other, "fitters")
+    core.ask_for_account(other.state, "fitters", fleet.now_s)
+    lending.expire_requests(other.state, fleet.now_s + 3)
+    assert not other.state.pending
--- /dev/null
+++ b/tests/limits/test_tenure.py
@@ -0,0 +1,112 @@
+"""A seat has one holder at a time."""
+
+from chervilpitch.limits import core
+from chervilpitch.limits.messages import Claim
+from chervilpitch.limits.tenure import TERM_S
+from tests.limits.fleet import Fleet, catalogue_of, seat_table
+
+SEATS = seat_table(2, 2, 3)
+
+
+def started(**options):
+    fleet = Fleet(catalogue_of((), SEATS))
+    fleet.start_all(**options)
+    fleet.run(6)
+    return fleet
+
+
+def holds(fleet, name):
+    node = fleet.nodes[name]
+    return node.state.tenure.holds(node.clock(fleet.now_s))
+
+
+def replace(fleet, seat):
+    node = fleet.start(f"new{seat}", seat)
+    listing = fleet.listing()
+    listing.pop(f"n{seat}", None)
+    fleet.publish(listing)
+    return node
+
+
+def test_all_seats_are_held_after_a_cold_start():
+    fleet = started()
+    assert all(holds(fleet, name) for name in fleet.nodes)
+
+
+def test_nothing_is_held_in_the_first_term():
+    fleet = Fleet(catalogue_of((), SEATS))
+    fleet.start_all()
+    fleet.run(3.9)
+    assert not any(holds(fleet, name) for name in fleet.nodes)
+
+
+def test_a_replacement_waits_for_a_holder_that_still_runs():
+    fleet = started()
+    replace(fleet, 0)
+    fleet.run(10)
+    assert holds(fleet, "n0") and not holds(fleet, "new0")
+
+
+def test_a_replacement_holds_the_seat_a_term_after_the_holder_is_cut_off():
+    fleet = started()
+    fleet.linked = lambda a, b: "n0" not in (a.sender.name, b.sender.name)
+    replace(fleet, 0)
+    fleet.run(6)
+    assert holds(fleet, "new0") and not holds(fleet, "n0")
+
+
+def test_a_holder_that_wakes_late_has_lost_its_seat_before_any_message():
+    fleet = started()
+    fleet.nodes["n0"].paused_until_s = fleet.now_s + 60
+    replace(fleet, 0)
+    fleet.run(8)
+    assert holds(fleet, "new0") and not holds(fleet, "n0")
+
+
+def test_a_region_apart_keeps_its_seats():
+    fleet = started()
+    fleet.linked = lambda a, b: SEATS[a.seat][:2] == SEATS[b.seat][:2]
+    fleet.run(20)
+    assert all(holds(fleet, name) for name in fleet.nodes)
+
+
+def test_a_released_seat_is_held_by_the_replacement_within_two_seconds():
+    fleet = started()
+    node = fleet.nodes["n0"]
+    fleet.send(node, core.leaving(node.state, node.clock(fleet.now_s)))
+    replace(fleet, 0)
+    fleet.run(2)
+    assert holds(fleet, "new0") and not holds(fleet, "n0")
+
+
+def test_a_new_witness_promises_nothing_for_a_term():
+    fleet = started()
+    fleet.nodes["n0"].dead = True
+    node = replace(fleet, 0)
+    granted = []
+    for step in range(400):
+        fleet.run(0.05)
+        now_s = node.clock(fleet.now_s)
+        if node.state.tenure.holds(now_s):
+            age_s = now_s - node.state.tenure.held_since_s
+            answer = node.state.tenure.answer(Claim(1, step), 99, now_s)
+            assert not answer.granted or age_s >= TERM_S
+            granted.append(answer.granted or answer.taken)
+    assert granted[-1] and not granted[0]
+
+
+def test_a_region_that_lost_all_tenure_starts_again():
+    fleet = started()
+    fleet.linked = lambda a, b: False
+    fleet.run(15)
+    assert not any(holds(fleet, name) for name in fleet.nodes)
+    fleet.linked = lambda a, b: True
+    fleet.run(7)
+    assert all(holds(fleet, name) for name in fleet.nodes)
+
+
+def test_a_fleet_of_one_seat_holds_it_after_a_term():
+    fleet = Fleet(catalogue_of((), {0: "r0/d0"}))
+    fleet.start_all()
+    fleet.run(4.2)
+    assert holds(fleet, "n0")
