--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -14,7 +14,7 @@
 
 from chervilpitch.limits import core, naive
 from chervilpitch.limits.admission import ASK_INTERVAL_S, admit
-from chervilpitch.limits.homes import HOMES_PER_REGION, home_seats
+from chervilpitch.limits.homes import HOMES_PER_REGION, group_seats, home_seats
 from chervilpitch.limits.state import LimitState
 from chervilpitch.model import (
     EMPTY_CATALOGUE,
@@ -199,7 +199,7 @@
     def _chosen(self, load):
         name = load.account.name
         if self.setup.steering and not self.setup.is_naive:
-            homes = home_seats(name, self.seats, self.setup.homes)
+            homes = home_seats(name, group_seats(self.seats), self.setup.homes)
             return [s for s in homes if region_of(self.seats[s]) == "r0"] or homes
         return self.rng.sample(sorted(self.seats), self.setup.lean_on)
 
--- a/src/chervilpitch/limits/__init__.py
+++ b/src/chervilpitch/limits/__init__.py
@@ -11,7 +11,7 @@
     shares,
     tick,
 )
-from .homes import home_seats
+from .homes import group_seats, home_seats
 from .messages import Claim, Closing, Grant, Loan, Promise, Release, TokenRequest, Want
 from .state import LimitState
 
@@ -30,6 +30,7 @@
     "admit",
     "ask_for_account",
     "follow_instances",
+    "group_seats",
     "home_seats",
     "leaving",
     "put_in_force",
--- a/src/chervilpitch/limits/homes.py
+++ b/src/chervilpitch/limits/homes.py
@@ -1,20 +1,45 @@
 """Seats that mint the rate of a client account."""
 
-from collections import Counter
 from collections.abc import Mapping
 
 from chervilpitch.membership.placement import rank
 from chervilpitch.model import region_of
 
-__all__ = ["HOMES_PER_REGION", "home_seats"]
+__all__ = ["HOMES_PER_REGION", "SeatGroups", "group_seats", "home_seats"]
 
 HOMES_PER_REGION = 1
 
+SeatGroups = Mapping[str, Mapping[str, tuple[str, ...]]]
+"""Seat numbers as text, by region and failure domain."""
+
+
+def group_seats(seats: Mapping[int, str]) -> SeatGroups:
+    """Return the seats by region and failure domain.
+
+    Parameters
+    ----------
+    seats : mapping of int to str
+        Failure domain of each seat.
+
+    Returns
+    -------
+    mapping
+        Seat numbers as text, by region and failure domain.
+
+    Examples
+    --------
+    >>> group_seats({0: "punjab/a", 1: "sindh/a", 2: "punjab/a"})
+    {'punjab': {'punjab/a': ('0', '2')}, 'sindh': {'sindh/a': ('1',)}}
+    """
+    groups: dict[str, dict[str, tuple[str, ...]]] = {}
+    for seat, domain in sorted(seats.items()):
+        region = groups.setdefault(region_of(domain), {})
+        region[domain] = region.get(domain, ()) + (str(seat),)
+    return groups
+
 
 def home_seats(
-    account: str,
-    seats: Mapping[int, str],
-    per_region: int = HOMES_PER_REGION,
+    account: str, groups: SeatGroups, per_region: int = HOMES_PER_REGION
 ) -> tuple[int, ...]:
     """Return the seats that mint an account's rate, in a stable order.
 
@@ -22,8 +47,8 @@
     ----------
     account : str
         Name of the client account.
-    seats : mapping of int to str
-        Failure domain of each seat.
+    groups : mapping
+        The seats as `group_seats` returns them.
     per_region : int, optional
         Number of homes in each region, spread over its failure domains.
 
@@ -34,24 +59,24 @@
 
     Examples
     --------
-    >>> home_seats("fitters", {0: "punjab/a", 1: "sindh/a"})
+    >>> home_seats("fitters", group_seats({0: "punjab/a", 1: "sindh/a"}))
     (0, 1)
     """
-    members: dict[str, list[str]] = {}
-    for seat, domain in seats.items():
-        members.setdefault(region_of(domain), []).append(str(seat))
     homes: list[int] = []
-    for region in sorted(members):
-        ranked = [int(seat) for seat in rank(account, members[region])]
-        homes.extend(_spread(ranked, seats)[:per_region])
+    for domains in groups.values():
+        homes.extend(_homes_of_region(account, domains, per_region))
     return tuple(sorted(homes))
 
 
-def _spread(ranked: list[int], seats: Mapping[int, str]) -> list[int]:
-    """Order seats so that no failure domain comes twice before all came once."""
-    seen: Counter[str] = Counter()
-    rounds = {}
-    for place, seat in enumerate(ranked):
-        rounds[seat] = (seen[seats[seat]], place)
-        seen[seats[seat]] += 1
-    return sorted(ranked, key=rounds.__getitem__)
+def _homes_of_region(
+    account: str, domains: Mapping[str, tuple[str, ...]], count: int
+) -> list[int]:
+    """Choose a failure domain for each home in turn and its next best seat."""
+    ranked = rank(account, domains)[:count]
+    members = [list(rank(account, domains[domain])) for domain in ranked]
+    homes: list[int] = []
+    while len(homes) < count and any(members):
+        for seats in members:
+            if seats and len(homes) < count:
+                homes.append(int(seats.pop(0)))
+    return homes
--- a/src/chervilpitch/limits/state.py
+++ b/src/chervilpitch/limits/state.py
@@ -7,7 +7,7 @@
 
 from .borrowing import BORROWED_SPAN_S, Borrowing
 from .bucket import MAX_CLOCK_DRIFT, Bucket
-from .homes import HOMES_PER_REGION, home_seats
+from .homes import HOMES_PER_REGION, SeatGroups, group_seats, home_seats
 from .tenure import Tenure
 
 __all__ = ["LENT_SPAN_S", "LimitState", "PendingRequest"]
@@ -65,6 +65,7 @@
         self._tenure = Tenure(own.incarnation, seat)
         self._catalogue: Catalogue = EMPTY_CATALOGUE
         self._holders: dict[int, tuple[str, ...]] = {}
+        self._groups: SeatGroups = {}
         self._homes: dict[str, tuple[int, ...]] = {}
         self._buckets: dict[str, Bucket] = {}
         self._buckets_since_s: float | None = None
@@ -119,8 +120,7 @@
         """Return the seats that mint an account's rate."""
         homes = self._homes.get(account)
         if homes is None:
-            seats = self._catalogue.seats
-            homes = home_seats(account, seats, self._homes_per_region)
+            homes = home_seats(account, self._groups, self._homes_per_region)
             self._homes[account] = homes
         return homes
 
@@ -202,6 +202,7 @@
             self._settle_buckets(catalogue, now_s)
         self._catalogue = catalogue
         if catalogue.seats != before.seats:
+            self._groups = group_seats(catalogue.seats)
             self._homes.clear()
             self._buckets.clear()
             self._tenure.follow_seats(catalogue.seats)
--- a/tests/limits/test_homes.py
+++ b/tests/limits/test_homes.py
@@ -1,6 +1,6 @@
 """Homes and witnesses of accounts and seats."""
 
-from chervilpitch.limits.homes import home_seats
+from chervilpitch.limits.homes import group_seats, home_seats
 from chervilpitch.limits.witnesses import quorum_of, witness_seats
 from tests.limits.fleet import seat_table
 
@@ -8,7 +8,7 @@
 
 
 def test_each_region_has_its_homes_in_different_failure_domains():
-    homes = home_seats("fitters", SEATS, 2)
+    homes = home_seats("fitters", group_seats(SEATS), 2)
     assert sorted(SEATS[seat] for seat in homes) == sorted(set(SEATS.values()))
 
 
@@ -24,3 +24,11 @@
     sizes = [len(witness_seats(0, seat_table(1, 1, n))) for n in (1, 2, 3, 4, 5)]
     assert sizes == [0, 1, 2, 3, 3]
     assert [quorum_of(tuple(range(n))) for n in range(4)] == [0, 1, 2, 2]
+
+
+def test_a_new_seat_moves_few_accounts():
+    more = group_seats({**SEATS, 36: "r0/d0"})
+    groups = group_seats(SEATS)
+    names = [f"account-{number}" for number in range(300)]
+    moved = sum(home_seats(name, groups) != home_seats(name, more) for name in names)
+    assert 0 < moved < 60
