--- a/src/chervilpitch/limits/borrowing.py
+++ b/src/chervilpitch/limits/borrowing.py
@@ -17,7 +17,8 @@
 FAIR_FACTOR = 1.5
 SMALLEST_SUPPLY = 1.0
 SUPPLY_S = 0.3
-RENEWAL_S = 0.5
+QUIET_INTERVAL_S = 0.4
+RENEWAL_S = 0.6
 SUPPLY_TOKENS = 1.0
 SMALLEST_PEAK = 0.5
 IDLE_DEMAND_PER_S = 0.05
@@ -79,6 +80,7 @@
         self._peak = 0.0
         self._measured_at_s = now_s
         self._wide_until_s = float("-inf")
+        self._due_at_s = now_s
 
     @property
     def account(self) -> str:
@@ -90,6 +92,11 @@
         """Estimated tokens per second that callers ask of this instance."""
         return self._demand_per_s
 
+    @property
+    def due_at_s(self) -> float:
+        """Monotonic time in seconds at which it needs attention."""
+        return self._due_at_s
+
     def tokens(self, now_s: float) -> float:
         """Return the borrowed tokens that may be spent now."""
         self._expire(now_s)
@@ -114,13 +121,16 @@
     def attempt(self, cost: float) -> None:
         """Count a request of a caller towards the demand."""
         self._attempted += cost
+        self._due_at_s = float("-inf")
 
     def miss(self, cost: float) -> None:
         """Count a request that found too few tokens."""
         self._unserved += cost
+        self._due_at_s = float("-inf")
 
     def measure(self, now_s: float) -> None:
         """Bring the estimated demand up to date."""
+        self._due_at_s = now_s + QUIET_INTERVAL_S
         elapsed_s = now_s - self._measured_at_s
         if elapsed_s <= 0:
             return
@@ -167,6 +177,7 @@
         wanted = self._asked.pop(number, 0.0)
         if tokens < wanted - SMALLEST_TOKENS:
             self._wide_until_s = now_s + BORROWED_SPAN_S
+            self._due_at_s = now_s
 
     def is_wide(self, now_s: float) -> bool:
         """Return whether the homes nearby have lately had too little."""
--- a/src/chervilpitch/limits/lending.py
+++ b/src/chervilpitch/limits/lending.py
@@ -30,7 +30,8 @@
     tuple of Send
         The requests; each carries the closings for its receiver too.
     """
-    return _ask_for(state, tuple(state.borrowings.values()), now_s)
+    due = [each for each in state.borrowings.values() if each.due_at_s <= now_s]
+    return _ask_for(state, due, now_s)
 
 
 def ask_for_account(
@@ -119,7 +120,9 @@
 def expire_requests(state: LimitState, now_s: float) -> None:
     """Stop counting on requests that were not answered in time."""
     for number, request in list(state.pending.items()):
-        if not request.is_late and now_s >= request.sent_at_s + REQUEST_TIMEOUT_S:
+        if now_s < request.sent_at_s + REQUEST_TIMEOUT_S:
+            break
+        if not request.is_late:
             state.pending[number] = request._replace(is_late=True)
             state.count_silence(request.to, now_s)
             _stop_counting_on(state, number, request, now_s)
--- a/src/chervilpitch/limits/state.py
+++ b/src/chervilpitch/limits/state.py
@@ -16,6 +16,7 @@
 """How long a giver keeps the room of a loan, from the receipt of the request."""
 
 AVOIDED_S = 1.0
+FORGET_INTERVAL_S = 1.0
 UNANSWERED_LIMIT = 3
 
 
@@ -75,6 +76,7 @@
         self._avoided_until_s: dict[str, float] = {}
         self._unanswered: dict[str, int] = {}
         self._next_number = 1
+        self._forget_at_s = float("-inf")
 
     @property
     def own(self) -> Sender:
@@ -212,6 +214,12 @@
 
     def forget_idle(self, now_s: float) -> None:
         """Drop full buckets and idle borrowings; they are rebuilt on demand."""
+        if now_s < self._forget_at_s:
+            return
+        self._forget_at_s = now_s + FORGET_INTERVAL_S
+        for name, empty_at_s in list(self._empty_at_s.items()):
+            if self._is_refilled(name, now_s - empty_at_s):
+                del self._empty_at_s[name]
         for name, bucket in list(self._buckets.items()):
             if name not in self._empty_at_s and bucket.is_full(now_s):
                 del self._buckets[name]
@@ -224,12 +232,21 @@
         since_s = self._tenure.held_since_s + LENT_SPAN_S
         return max(since_s, self._empty_at_s.get(account, since_s))
 
+    def _is_refilled(self, account_name: str, elapsed_s: float) -> bool:
+        account = self._catalogue.accounts.get(account_name)
+        if account is None:
+            return True
+        return elapsed_s * account.rate_per_s >= account.burst * (1 + MAX_CLOCK_DRIFT)
+
     def _settle_buckets(self, catalogue: Catalogue, now_s: float) -> None:
         before = self._catalogue.accounts
-        for name, account in catalogue.accounts.items():
-            old = before.get(name)
+        changed = [
+            a for a in catalogue.accounts.values() if before.get(a.name) is not a
+        ]
+        for account in changed:
+            old = before.get(account.name)
             if old is None:
-                self._empty_at_s[name] = now_s + LENT_SPAN_S
+                self._empty_at_s[account.name] = now_s + LENT_SPAN_S
             elif old != account:
                 self._change_bucket(old, account, now_s)
         for name in before.keys() - catalogue.accounts.keys():
--- a/src/chervilpitch/limits/tenure.py
+++ b/src/chervilpitch/limits/tenure.py
@@ -77,6 +77,7 @@
         self._incarnation = incarnation
         self._seat = seat
         self._seats: Mapping[int, str] = {}
+        self._region: list[int] = []
         self._witnesses: tuple[int, ...] = ()
         self._promised_until_s: dict[int, float] = {}
         self._promises: dict[int, SeatPromise] = {}
@@ -120,6 +121,8 @@
             return
         self._seats = dict(seats)
         known = self._seat is not None and self._seat in seats
+        region = region_of(seats[self._seat]) if known else None
+        self._region = [s for s, d in sorted(seats.items()) if region_of(d) == region]
         witnesses = witness_seats(self._seat, seats) if known else ()
         if witnesses != self._witnesses or not known:
             self._witnesses = witnesses
@@ -211,12 +214,8 @@
             if made.until_s <= now_s:
                 del self._promises[seat]
 
-    def _region_seats(self) -> list[int]:
-        region = region_of(self._seats[self._seat])
-        return sorted(s for s, d in self._seats.items() if region_of(d) == region)
-
     def _next_probes(self) -> list[int]:
-        others = [s for s in self._region_seats() if s != self._seat]
+        others = [s for s in self._region if s != self._seat]
         start = self._probe_from % len(others) if others else 0
         count = max(MIN_PROBES_PER_ROUND, len(others) // PROBE_ROUNDS + 1)
         self._probe_from += count
@@ -225,7 +224,9 @@
     def _is_founding(self, now_s: float) -> bool:
         if self._seat not in self._seats or now_s < self._taken_until_s:
             return False
-        seats = self._region_seats()
+        if len(self._untenured) + 1 <= FOUNDING_SHARE * len(self._region):
+            return False
+        seats = self._region
         veterans = int(self._is_veteran)
         untenured = 1
         for seat in seats:
