--- a/src/chervilpitch/limits/homes.py
+++ b/src/chervilpitch/limits/homes.py
@@ -3,16 +3,43 @@
 from collections.abc import Mapping
 
 from chervilpitch.membership.placement import rank
+from chervilpitch.model import region_of
 
-__all__ = ["HOMES_PER_FAILURE_DOMAIN", "home_seats"]
+__all__ = ["HOMES_PER_REGION", "SeatGroups", "group_seats", "home_seats"]
 
-HOMES_PER_FAILURE_DOMAIN = 1
+HOMES_PER_REGION = 1
+
+SeatGroups = Mapping[str, Mapping[str, tuple[str, ...]]]
+"""Seat numbers as text, by region and failure domain."""
+
+
+def group_seats(seats: Mapping[int, str]) -> SeatGroups:
+    """Return the seats by region and failure domain.
+
+    Parameters
+    ----------
+    seats : mapping of int to str
+        Failure domain of each seat.
+
+    Returns
+    -------
+    mapping
+        Seat numbers as text, by region and failure domain.
+
+    Examples
+    --------
+    >>> group_seats({0: "punjab/a", 1: "sindh/a", 2: "punjab/a"})
+    {'punjab': {'punjab/a': ('0', '2')}, 'sindh': {'sindh/a': ('1',)}}
+    """
+    groups: dict[str, dict[str, tuple[str, ...]]] = {}
+    for seat, domain in sorted(seats.items()):
+        region = groups.setdefault(region_of(domain), {})
+        region[domain] = region.get(domain, ()) + (str(seat),)
+    return groups
 
 
 def home_seats(
-    account: str,
-    seats: Mapping[int, str],
-    per_failure_domain: int = HOMES_PER_FAILURE_DOMAIN,
+    account: str, groups: SeatGroups, per_region: int = HOMES_PER_REGION
 ) -> tuple[int, ...]:
     """Return the seats that mint an account's rate, in a stable order.
 
@@ -20,25 +47,36 @@
     ----------
     account : str
         Name of the client account.
-    seats : mapping of int to str
-        Failure domain of each seat.
-    per_failure_domain : int, optional
-        Number of homes in each failure domain.
+    groups : mapping
+        The seats as `group_seats` returns them.
+    per_region : int, optional
+        Number of homes in each region, spread over its failure domains.
 
     Returns
     -------
     tuple of int
-        The same few seats of every failure domain on every instance.
+        The same few seats of every region on every instance.
 
     Examples
     --------
-    >>> home_seats("fitters", {0: "punjab/a", 1: "punjab/b"})
+    >>> home_seats("fitters", group_seats({0: "punjab/a", 1: "sindh/a"}))
     (0, 1)
     """
-    members: dict[str, list[str]] = {}
-    for seat, domain in seats.items():
-        members.setdefault(domain, []).append(str(seat))
-    homes: list[str] = []
-    for domain in sorted(members):
-        homes.extend(rank(account, members[domain])[:per_failure_domain])
-    return tuple(sorted(int(seat) for seat in homes))
+    homes: list[int] = []
+    for domains in groups.values():
+        homes.extend(_homes_of_region(account, domains, per_region))
+    return tuple(sorted(homes))
+
+
+def _homes_of_region(
+    account: str, domains: Mapping[str, tuple[str, ...]], count: int
+) -> list[int]:
+    """Choose a failure domain for each home in turn and its next best seat."""
+    ranked = rank(account, domains)[:count]
+    members = [list(rank(account, domains[domain])) for domain in ranked]
+    homes: list[int] = []
+    while len(homes) < count and any(members):
+        for seats in members:
+            if seats and len(homes) < count:
+                homes.append(int(seats.pop(0)))
+    return homes
