Refuse what a waiting note withdraws; refuse until an instance is ready

Cause: the request path did not ask the spread core for waiting withdrawals nor for readiness; address answers failed after home seats were grouped by region. Change: identify asks both; home seats of address answers are taken from the groups.

--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -109,7 +109,8 @@
     print(f"{'way':<10} {'count':>6} {'median ms':>10} {'p99 ms':>8}")
     for way, row in ways.items():
         print(
-            f"{way:<10} {row['count']:>6} {row['median_ms']:>10.3f} {row['p99_ms']:>8.3f}"
+            f"{way:<10} {row['count']:>6} {row['median_ms']:>10.3f}"
+            f" {row['p99_ms']:>8.3f}"
         )
     for name in ("median_ms", "p99_ms"):
         added_hop = hop[name] - direct[name]
--- a/src/chervilpitch/accounts/__init__.py
+++ b/src/chervilpitch/accounts/__init__.py
@@ -13,6 +13,7 @@
 from .keys import PresentedKey, digest_of
 from .messages import RevisionAnswer, RevisionQuestion
 from .questions import QuestionState
+from .suspension import check_not_suspended
 
 __all__ = [
     "Evidence",
@@ -25,6 +26,7 @@
     "RevisionQuestion",
     "check",
     "check_admitted",
+    "check_not_suspended",
     "digest_of",
     "evidence",
     "follow_instances",
--- a/src/chervilpitch/membership/homeseats.py
+++ b/src/chervilpitch/membership/homeseats.py
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         self._seats: Mapping[int, str] = {}
+        self._groups: Mapping[str, Mapping[str, tuple[str, ...]]] = {}
         self._homes: dict[str, frozenset[int]] = {}
 
     def of(self, account: str, seats: Mapping[int, str]) -> frozenset[int]:
@@ -34,13 +35,14 @@
             Seat numbers.
         """
         # The limits package places its homes with this package's hashing.
-        from chervilpitch.limits.homes import home_seats
+        from chervilpitch.limits.homes import group_seats, home_seats
 
         if seats is not self._seats:
             self._seats = seats
+            self._groups = group_seats(seats)
             self._homes = {}
         if account not in self._homes:
             if len(self._homes) >= ACCOUNTS_KEPT:
                 del self._homes[next(iter(self._homes))]
-            self._homes[account] = frozenset(home_seats(account, seats))
+            self._homes[account] = frozenset(home_seats(account, self._groups))
         return self._homes[account]
--- a/src/chervilpitch/runtime/control.py
+++ b/src/chervilpitch/runtime/control.py
@@ -135,6 +135,7 @@
                 rest += self._put_in_force(effect.catalogue)
             else:
                 rest += (effect,)
+        self._cores.suspended = spread.suspended(self._cores.spread)
         return rest
 
     def _put_in_force(self, catalogue: Catalogue) -> tuple[Effect, ...]:
--- a/src/chervilpitch/runtime/cores.py
+++ b/src/chervilpitch/runtime/cores.py
@@ -64,3 +64,4 @@
             own, incarnation, clock(), started_wall_ms
         )
         self.spread = spread.SpreadState(own, clock())
+        self.suspended = spread.suspended(self.spread)
--- a/src/chervilpitch/runtime/decisions.py
+++ b/src/chervilpitch/runtime/decisions.py
@@ -7,7 +7,15 @@
 
 from result import Err, Ok, Result
 
-from chervilpitch import accounts, health, limits, membership, requests, routing
+from chervilpitch import (
+    accounts,
+    health,
+    limits,
+    membership,
+    requests,
+    routing,
+    spread,
+)
 from chervilpitch.model import (
     ClientAccount,
     Refusal,
@@ -123,10 +131,17 @@
 
     def identify(self, key) -> Result[ClientAccount, Refusal]:
         """Return the client account of a key, if the catalogue is fresh."""
+        cores = self._cores
         with self._lock:
-            fresh = accounts.check(self._cores.freshness, self._clock())
-            return fresh.and_then(
-                lambda _: accounts.identify(self._cores.catalogue, key)
+            now_s = self._clock()
+            if not spread.ready(cores.spread, now_s):
+                return Err(Refusal(RefusalKind.NOT_READY, RunState.NOT_RUN))
+            fresh = accounts.check(cores.freshness, now_s)
+            found = fresh.and_then(lambda _: accounts.identify(cores.catalogue, key))
+            return found.and_then(
+                lambda account: accounts.check_not_suspended(
+                    account, key, cores.suspended.accounts, cores.suspended.keys
+                )
             )
 
     def enter(self, account: str) -> Result[None, Refusal]:
