Look at far upstreams only when they are needed

Cause: a reservation looked at every upstream of its service.

Change: upstreams are kept by distance; the nearer ones are asked first; the error rate of the peers is worked out only when it can matter.

--- a/src/chervilpitch/health/__init__.py
+++ b/src/chervilpitch/health/__init__.py
@@ -16,7 +16,14 @@
     Truncated,
 )
 from .probing import probes_due, receive, report
-from .queries import UpstreamStatus, eligible, silent_upstreams, snapshot, weight
+from .queries import (
+    UpstreamStatus,
+    eligible,
+    is_eligible,
+    silent_upstreams,
+    snapshot,
+    weight,
+)
 from .state import HealthState, RoundTrips
 
 __all__ = [
@@ -36,6 +43,7 @@
     "Truncated",
     "UpstreamStatus",
     "eligible",
+    "is_eligible",
     "finished",
     "observe",
     "probes_due",
--- a/src/chervilpitch/health/evidence.py
+++ b/src/chervilpitch/health/evidence.py
@@ -270,8 +270,9 @@
 
 def _count_outcome(state, name, add, is_error, now_s):
     record = state.upstreams[name]
-    scores = add(record.scores, _usual_error_rate(state, name, now_s))
-    _set_scores(state, name, scores, now_s)
+    if is_error or record.scores.occasional_errors or record.scores.frequent_errors:
+        scores = add(record.scores, _usual_error_rate(state, name, now_s))
+        _set_scores(state, name, scores, now_s)
     outcomes = (*record.outcomes, is_error)[-OUTCOMES:]
     state.replace(name, outcomes=outcomes)
     _note_end(state, name, now_s)
--- a/src/chervilpitch/health/queries.py
+++ b/src/chervilpitch/health/queries.py
@@ -8,7 +8,14 @@
 from .scores import EJECT_SCORE
 from .state import HealthState
 
-__all__ = ["UpstreamStatus", "eligible", "silent_upstreams", "snapshot", "weight"]
+__all__ = [
+    "UpstreamStatus",
+    "eligible",
+    "is_eligible",
+    "silent_upstreams",
+    "snapshot",
+    "weight",
+]
 
 FAILING_WEIGHT = 0.1
 REPORTED_WEIGHT = 0.5
@@ -64,6 +71,26 @@
     return tuple(n for n in names if ejection.is_eligible(state, n, now_s))
 
 
+def is_eligible(state: HealthState, upstream_name: str, now_s: float) -> bool:
+    """Return whether an upstream may get new requests.
+
+    Parameters
+    ----------
+    state : HealthState
+        Not changed.
+    upstream_name : str
+        Name of an upstream in use.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    bool
+        False while it is ejected or draining.
+    """
+    return ejection.is_eligible(state, upstream_name, state.clock(now_s))
+
+
 def weight(state: HealthState, upstream_name: str, now_s: float) -> float:
     """Return the share of its usual traffic that an upstream should get.
 
--- a/src/chervilpitch/routing/choice.py
+++ b/src/chervilpitch/routing/choice.py
@@ -103,14 +103,9 @@
        balancing", IEEE Transactions on Parallel and Distributed Systems 12, 2001.
     """
     now_s = state.health.clock(now_s)
-    eligible = health.eligible(state.health, route.service, now_s)
-    untried = [name for name in eligible if name not in failed_already]
-    if not untried:
-        return Err(Refusal(RefusalKind.NO_UPSTREAM, RunState.NOT_RUN))
-    free = [name for name in untried if _has_room(state, name, now_s)]
-    if not free:
-        return Err(_no_slot(state, untried, now_s))
-    ring = _pick_ring(state, free, len(failed_already), now_s)
+    ring = _pick_ring(state, route.service, failed_already, now_s)
+    if not ring:
+        return Err(_refusal(state, route.service, failed_already, now_s))
     weights = {name: health.weight(state.health, name, now_s) for name in ring}
     name = _less_loaded(state, weights)
     held = _take(state, name, route.name)
@@ -221,32 +216,49 @@
     return room(state.window(name), slots, state.in_flight(name), now_s)
 
 
+def _refusal(state, service, failed_already, now_s):
+    eligible = health.eligible(state.health, service, now_s)
+    untried = [name for name in eligible if name not in failed_already]
+    if not untried:
+        return Refusal(RefusalKind.NO_UPSTREAM, RunState.NOT_RUN)
+    return _no_slot(state, untried, now_s)
+
+
 def _no_slot(state, names, now_s):
     opens_at_s = min(state.window(name).closed_until_at_s for name in names)
     retry_at_s = max(opens_at_s, now_s + RETRY_GAP_S)
     return Refusal(RefusalKind.NO_SLOT, RunState.NOT_RUN, retry_at_s=retry_at_s)
 
 
-def _pick_ring(state, names, failures, now_s):
-    own, region, far = _rings(state, names)
-    if far and failures >= NEAR_TRIES:
-        return far
+def _pick_ring(state, service, failed_already, now_s):
+    """Return the upstreams to choose from, all about equally far."""
+    rings = state.rings(service)
+    if len(failed_already) >= NEAR_TRIES:
+        far = _usable(state, rings[Distance.OTHER_REGION], failed_already, now_s)
+        if far:
+            return far
+    own = _usable(state, rings[Distance.OWN_DOMAIN], failed_already, now_s)
+    region = _usable(state, rings[Distance.OWN_REGION], failed_already, now_s)
     if len(own) >= OWN_DOMAIN_MIN and _is_sound(state, own, now_s):
         explores = region and state.rng.random() < EXPLORE_SHARE
         return region if explores else own
     near = own + region
     if _is_sound(state, near, now_s):
         return near
+    far = _usable(state, rings[Distance.OTHER_REGION], failed_already, now_s)
     if not near or (far and state.rng.random() < FAR_EXPLORE_SHARE):
         return far
     return near
 
 
-def _rings(state, names):
-    rings = {distance: [] for distance in Distance}
-    for name in names:
-        rings[state.distance(name)].append(name)
-    return rings.values()
+def _usable(state, names, failed_already, now_s):
+    return [
+        name
+        for name in names
+        if name not in failed_already
+        and health.is_eligible(state.health, name, now_s)
+        and _has_room(state, name, now_s)
+    ]
 
 
 def _is_sound(state, names, now_s):
--- a/src/chervilpitch/routing/state.py
+++ b/src/chervilpitch/routing/state.py
@@ -75,6 +75,9 @@
     return Distance.OTHER_REGION
 
 
+NO_RINGS = dict.fromkeys(Distance, ())
+
+
 class RoutingState:
     """Reservations, windows and the table of routes of one instance.
 
@@ -100,7 +103,7 @@
         self._catalogue = EMPTY_CATALOGUE
         self._table = build_table(EMPTY_CATALOGUE)
         self._shares: Mapping[str, ServiceShare] = {}
-        self._distances: dict[str, Distance] = {}
+        self._rings: dict[str, dict[Distance, tuple[str, ...]]] = {}
         self._windows: dict[str, Window] = {}
         self._open: dict[int, Reservation] = {}
         self._in_flight: dict[str, int] = {}
@@ -149,9 +152,9 @@
         """Return the window of an upstream."""
         return self._windows.get(upstream, OPEN)
 
-    def distance(self, upstream: str) -> Distance:
-        """Return how far an upstream in use is."""
-        return self._distances[upstream]
+    def rings(self, service: str) -> Mapping[Distance, tuple[str, ...]]:
+        """Return the names of the upstreams of a service by distance."""
+        return self._rings.get(service, NO_RINGS)
 
     def set_window(self, upstream: str, window: Window) -> None:
         """Set the window of an upstream."""
@@ -164,12 +167,16 @@
         self._catalogue = catalogue
         self._table = build_table(catalogue)
         self._shares = shares
-        used = [u for share in shares.values() for u in share.upstreams]
-        self._distances = {
-            u.name: distance(self._failure_domain, u.failure_domain) for u in used
-        }
-        kept = self._windows.items()
-        self._windows = {n: w for n, w in kept if n in self._distances}
+        self._rings = {name: self._make_rings(share) for name, share in shares.items()}
+        used = {u.name for share in shares.values() for u in share.upstreams}
+        self._windows = {n: w for n, w in self._windows.items() if n in used}
+
+    def _make_rings(self, share):
+        rings = dict.fromkeys(Distance, ())
+        for upstream in share.upstreams:
+            away = distance(self._failure_domain, upstream.failure_domain)
+            rings[away] += (upstream.name,)
+        return rings
 
     def add(self, upstream: str, address: str, route: str) -> Reservation:
         """Take a slot."""
