--- a/tests/limits/test_tenure.py
+++ b/tests/limits/test_tenure.py
@@ -110,3 +110,18 @@
     fleet.start_all()
     fleet.run(4.2)
     assert holds(fleet, "n0")
+
+
+def test_a_region_replaced_whole_while_it_still_runs_is_held_once():
+    fleet = Fleet(catalogue_of((), seat_table(1, 2, 3)))
+    fleet.start_all()
+    fleet.run(6)
+    old = set(fleet.nodes)
+    fleet.linked = lambda a, b: (a.sender.name in old) == (b.sender.name in old)
+    for seat in range(6):
+        replace(fleet, seat)
+    fleet.publish({n: i for n, i in fleet.listing().items() if n not in old}, None)
+    fleet.publish(to=[fleet.nodes[name] for name in old])
+    fleet.run(10)
+    held = [node.seat for name, node in fleet.nodes.items() if holds(fleet, name)]
+    assert len(held) == len(set(held))
