--- a/benchmarks/detection/policies.py
+++ b/benchmarks/detection/policies.py
@@ -9,13 +9,15 @@
 
 __all__ = ["Naive", "Ours"]
 
+LATENCY_BOUND = 6.0
+
 
 class Ours:
     """The cores of this project."""
 
     name = "ours"
 
-    def __init__(self, domain, catalogue, seed):
+    def __init__(self, domain, catalogue, mean_s, seed):
         self.health = health.HealthState(domain)
         rng = random.Random(seed)
         self.routing = routing.RoutingState(0, domain, self.health, rng)
@@ -61,12 +63,12 @@
 
 
 class Naive:
-    """Fixed thresholds without a floor."""
+    """Thresholds without a floor, the latency's set by hand for each service."""
 
     name = "naive"
 
-    def __init__(self, domain, catalogue, seed):
-        self.health = naive_health.NaiveHealth()
+    def __init__(self, domain, catalogue, mean_s, seed):
+        self.health = naive_health.NaiveHealth(LATENCY_BOUND * mean_s)
         rng = random.Random(seed)
         self.routing = naive_routing.NaiveRouting(domain, self.health, rng)
         naive_health.put_in_force(self.health, catalogue, 0.0)
--- a/benchmarks/detection/simulation.py
+++ b/benchmarks/detection/simulation.py
@@ -46,7 +46,7 @@
         catalogue = EMPTY_CATALOGUE._replace(
             upstreams=upstreams, routes={"route": self.route}, seats=seats
         )
-        self.policy = policy_type(DOMAINS[0], catalogue, seed)
+        self.policy = policy_type(DOMAINS[0], catalogue, service.mean_s, seed)
         self.slots = sum(u.slots for u in upstreams.values())
         self.queue = []
         self.order = itertools.count()
