Start the upstream's time when the request is sent

Cause: whether a connection is reused is known only when one is taken, and the time of sending a request is not the upstream's.

Change: health.sent notes both; reserve no longer asks for it.

--- a/benchmarks/detection/policies.py
+++ b/benchmarks/detection/policies.py
@@ -30,11 +30,8 @@
         if got.is_err():
             return None
         held = got.unwrap()
-        if held.upstream in reused:
-            self.health.add_exchange(
-                held.number,
-                self.health.exchanges[held.number]._replace(is_reused=True),
-            )
+        is_reused = held.upstream in reused
+        health.sent(self.health, held.number, now_s, is_reused=is_reused)
         return held.upstream, held
 
     def progressed(self, held, now_s):
--- a/src/chervilpitch/health/__init__.py
+++ b/src/chervilpitch/health/__init__.py
@@ -1,6 +1,6 @@
 """Detection and ejection of upstreams with gray failures."""
 
-from .detector import finished, observe, progressed, put_in_force, started, tick
+from .detector import finished, observe, progressed, put_in_force, sent, started, tick
 from .messages import HealthReport
 from .observations import (
     Abandoned,
@@ -52,6 +52,7 @@
     "receive",
     "report",
     "silent_upstreams",
+    "sent",
     "snapshot",
     "started",
     "tick",
--- a/src/chervilpitch/health/detector.py
+++ b/src/chervilpitch/health/detector.py
@@ -9,7 +9,15 @@
 from .observations import DrainingSeen, Observation, ProbeAnswered, ProbeFailed
 from .state import Exchange, HealthState, UpstreamHealth
 
-__all__ = ["finished", "observe", "progressed", "put_in_force", "started", "tick"]
+__all__ = [
+    "finished",
+    "observe",
+    "progressed",
+    "put_in_force",
+    "sent",
+    "started",
+    "tick",
+]
 
 
 def started(
@@ -48,6 +56,32 @@
     state.add_exchange(exchange_id, exchange)
 
 
+def sent(
+    state: HealthState, exchange_id, now_s: float, *, is_reused: bool = False
+) -> None:
+    """Note that the whole request was sent; the upstream's time begins.
+
+    Parameters
+    ----------
+    state : HealthState
+        Changed in place.
+    exchange_id : hashable
+        Id of the exchange; one that is unknown has no effect.
+    now_s : float
+        Monotonic time in seconds.
+    is_reused : bool
+        Whether the connection had served an exchange before.
+    """
+    now_s = state.advance(now_s)
+    exchange = state.exchanges.get(exchange_id)
+    if exchange is None:
+        return
+    waiting = exchange._replace(
+        silent_from_at_s=now_s, is_reused=is_reused, is_waiting=True
+    )
+    state.add_exchange(exchange_id, waiting)
+
+
 def progressed(
     state: HealthState, exchange_id, now_s: float, *, is_waiting: bool = True
 ) -> None:
--- a/src/chervilpitch/routing/choice.py
+++ b/src/chervilpitch/routing/choice.py
@@ -66,7 +66,6 @@
     now_s: float,
     *,
     request_bytes: int = 0,
-    is_reused: bool = False,
 ) -> Result[Reservation, Refusal]:
     """Choose an upstream for one try of a request and take a slot of it.
 
@@ -82,8 +81,6 @@
         Monotonic time in seconds.
     request_bytes : int
         Size of the request's body in bytes.
-    is_reused : bool
-        Whether the exchange will use a connection that served another before.
 
     Returns
     -------
@@ -116,7 +113,6 @@
         now_s,
         route=route.name,
         request_bytes=request_bytes,
-        is_reused=is_reused,
     )
     return Ok(held)
 
--- a/tests/health/test_detector.py
+++ b/tests/health/test_detector.py
@@ -75,6 +75,16 @@
     assert not ejected(state)
 
 
+def test_the_time_of_an_upload_is_no_fault_of_the_upstream():
+    state, now_s = warm_state()
+    for number in range(4):
+        health.started(state, "u00", number, now_s)
+    health.tick(state, now_s + 0.4)
+    for number in range(4):
+        health.sent(state, number, now_s + 0.4)
+    assert health.snapshot(state, now_s + 0.41)["u00"].doubt == 0
+
+
 def test_a_silent_body_counts():
     state, now_s = warm_state()
     for number in range(4):
