Bound the count of ejections

Cause: the length of an ejection doubles with an unbounded count, and after about a thousand ejections the power no longer fits a float.

Change: the count stops at 8, where the length has reached its limit.

--- a/src/chervilpitch/health/ejection.py
+++ b/src/chervilpitch/health/ejection.py
@@ -27,6 +27,7 @@
 FLOOR_SHARE = 0.6
 FIRST_EJECTION_S = 5.0
 LONGEST_EJECTION_S = 300.0
+MAX_EJECTIONS = 8
 FORGIVE_S = 120.0
 RAMP_S = 10.0
 RAMP_START = 0.1
@@ -288,7 +289,7 @@
     state.replace(
         name,
         ejected_until_at_s=until_at_s,
-        ejections=record.ejections + 1,
+        ejections=min(MAX_EJECTIONS, record.ejections + 1),
         forgiven_at_s=math.inf,
         probe_at_s=until_at_s,
     )
--- a/tests/health/test_detector.py
+++ b/tests/health/test_detector.py
@@ -3,7 +3,12 @@
 import pytest
 
 from chervilpitch import health
-from chervilpitch.health.ejection import FIRST_EJECTION_S, RAMP_S
+from chervilpitch.health.ejection import (
+    FIRST_EJECTION_S,
+    LONGEST_EJECTION_S,
+    MAX_EJECTIONS,
+    RAMP_S,
+)
 from chervilpitch.model import Sender
 from tests.health.builders import (
     answered,
@@ -192,6 +197,17 @@
     assert lengths[0] < lengths[1] < lengths[2]
 
 
+def test_the_length_of_an_ejection_is_bounded():
+    state, now_s = warm_state()
+    for _ in range(12):
+        now_s = eject_u00(state, now_s)
+        now_s = state.upstreams["u00"].ejected_until_at_s
+        health.observe(state, "u00", health.ProbeAnswered(0.02), now_s)
+    assert state.upstreams["u00"].ejections == MAX_EJECTIONS
+    now_s = eject_u00(state, now_s)
+    assert state.upstreams["u00"].ejected_until_at_s - now_s <= LONGEST_EJECTION_S
+
+
 def test_probes_are_bounded():
     state, now_s = warm_state()
     report = health.HealthReport(tuple(state.upstreams))
