--- a/tests/health/test_detector.py
+++ b/tests/health/test_detector.py
@@ -3,7 +3,12 @@
 import pytest
 
 from chervilpitch import health
-from chervilpitch.health.ejection import FIRST_EJECTION_S, RAMP_S
+from chervilpitch.health.ejection import (
+    FIRST_EJECTION_S,
+    LONGEST_EJECTION_S,
+    MAX_EJECTIONS,
+    RAMP_S,
+)
 from chervilpitch.model import Sender
 from tests.health.builders import (
     answered,
@@ -75,6 +80,16 @@
     assert not ejected(state)
 
 
+def test_the_time_of_an_upload_is_no_fault_of_the_upstream():
+    state, now_s = warm_state()
+    for number in range(4):
+        health.started(state, "u00", number, now_s)
+    health.tick(state, now_s + 0.4)
+    for number in range(4):
+        health.sent(state, number, now_s + 0.4)
+    assert health.snapshot(state, now_s + 0.41)["u00"].doubt == 0
+
+
 def test_a_silent_body_counts():
     state, now_s = warm_state()
     for number in range(4):
@@ -182,6 +197,17 @@
     assert lengths[0] < lengths[1] < lengths[2]
 
 
+def test_the_length_of_an_ejection_is_bounded():
+    state, now_s = warm_state()
+    for _ in range(12):
+        now_s = eject_u00(state, now_s)
+        now_s = state.upstreams["u00"].ejected_until_at_s
+        health.observe(state, "u00", health.ProbeAnswered(0.02), now_s)
+    assert state.upstreams["u00"].ejections == MAX_EJECTIONS
+    now_s = eject_u00(state, now_s)
+    assert state.upstreams["u00"].ejected_until_at_s - now_s <= LONGEST_EJECTION_S
+
+
 def test_probes_are_bounded():
     state, now_s = warm_state()
     report = health.HealthReport(tuple(state.upstreams))
