Tell instances that were silent or deaf the news that they missed

Ruled out: counting on the list, which lags.

Change: a neighbour that was silent, or begins to hear this instance, gets the leaving and unlisted instances again.

--- a/src/chervilpitch/membership/heartbeats.py
+++ b/src/chervilpitch/membership/heartbeats.py
@@ -43,11 +43,10 @@
         return (_record("hello-refused", sender.name, f"names {message.name}"),)
     if sender.name == state.own.name:
         return _refuse_own_name(state, sender)
-    known = state.evidence.by_name.get(sender.name, {})
-    if sender.incarnation not in known or known[sender.incarnation].sequence < 0:
+    hears_us = message.heard_incarnation == state.incarnation
+    if _has_missed_news(state, sender, hears_us, now_s):
         state.evidence.begin_catch_up(sender.name, state.followed.instances)
     effects = list(_learn(state, _announcement_of(message, sender), now_s))
-    hears_us = message.heard_incarnation == state.incarnation
     is_newer = state.evidence.hear(
         sender.name, sender.incarnation, message.sequence, hears_us, now_s
     )
@@ -119,6 +118,16 @@
     return (_record("leaving", state.own.name), *tick(state, now_s))
 
 
+def _has_missed_news(
+    state: MembershipState, sender: Sender, hears_us: bool, now_s: float
+) -> bool:
+    """Return whether a sender is new, was silent, or begins to hear this instance."""
+    known = state.evidence.by_name.get(sender.name, {}).get(sender.incarnation)
+    if known is None or not is_heard(known, now_s):
+        return True
+    return hears_us and known.hears_us_at_s < known.heard_at_s
+
+
 def _announcement_of(message: Hello, sender: Sender) -> Announcement:
     return Announcement(
         name=message.name,
--- a/tests/membership/test_schedules.py
+++ b/tests/membership/test_schedules.py
@@ -98,6 +98,7 @@
 @settings(max_examples=40, phases=PHASES)
 @given(STEPS)
 @example([("leave", "i4", "i0"), ("replace", "i1", "i0")])
+@example([("freeze", "i0", "i0"), ("leave", "i10", "i0"), ("wait", "i0", "i0")])
 def test_views_agree_with_the_truth_soon_after_the_last_fault(steps):
     schedule = Schedule()
     for step in steps:
