--- a/src/chervilpitch/health/baseline.py
+++ b/src/chervilpitch/health/baseline.py
@@ -82,6 +82,10 @@
         self._samples = {}
         self._cache = {}
 
+    def __len__(self) -> int:
+        """Return the number of classes of request with samples."""
+        return len(self._samples)
+
     def add(self, key, upstream: str, latency_s: float, now_s: float) -> None:
         """Take in one latency.
 
--- a/src/chervilpitch/health/detector.py
+++ b/src/chervilpitch/health/detector.py
@@ -217,6 +217,7 @@
     for name, upstream in catalogue.upstreams.items():
         records[name] = _follow(state, upstream, now_s, upstream.service in known)
     state.set_upstreams(records)
+    state.latencies.restart(lambda key: key[2] and key[2] not in catalogue.routes)
     return tuple(
         effect
         for service in sorted(state.services)
--- a/tests/health/builders.py
+++ b/tests/health/builders.py
@@ -1,7 +1,7 @@
 """Small catalogues and clocks for the tests of this package."""
 
 from chervilpitch.health import Answered, HealthState, observe, put_in_force, tick
-from chervilpitch.model import EMPTY_CATALOGUE, Upstream
+from chervilpitch.model import EMPTY_CATALOGUE, Route, Upstream
 
 DOMAINS = ("north/a", "north/b", "south/a", "south/b")
 USUAL_S = 0.04
@@ -13,8 +13,11 @@
     return Upstream(name, "desk", f"10.0.0.1:{number}", domain, slots, 330, draining)
 
 
-def catalogue(upstreams):
-    return EMPTY_CATALOGUE._replace(upstreams={u.name: u for u in upstreams})
+def catalogue(upstreams, routes=()):
+    return EMPTY_CATALOGUE._replace(
+        upstreams={u.name: u for u in upstreams},
+        routes={name: Route(name, f"/{name}", "desk", 5.0, True) for name in routes},
+    )
 
 
 def answered(latency_s=USUAL_S):
--- a/tests/health/test_detector.py
+++ b/tests/health/test_detector.py
@@ -258,3 +258,13 @@
     assert health.observe(state, "gone", answered(), 1.0) == ()
     health.started(state, "gone", 1, 1.0)
     assert health.finished(state, 1, answered(), 2.0) == ()
+
+
+def test_latencies_of_a_withdrawn_route_are_forgotten():
+    state = new_state()
+    health.put_in_force(state, catalogue([upstream(0)], ["stock"]), 0.0)
+    health.started(state, "u00", 1, 1.0, route="stock")
+    health.finished(state, 1, answered(), 1.1)
+    assert len(state.latencies) == 1
+    health.put_in_force(state, catalogue([upstream(0)]), 2.0)
+    assert len(state.latencies) == 0
