--- a/src/chervilpitch/model/refusals.py
+++ b/src/chervilpitch/model/refusals.py
@@ -43,6 +43,7 @@
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     UPSTREAM_FAILED = "upstream-failed"
     DEADLINE_EXCEEDED = "deadline-exceeded"
+    INTERNAL_ERROR = "internal-error"
 
 
 class Refusal(NamedTuple):
--- a/src/chervilpitch/pipeline/application.py
+++ b/src/chervilpitch/pipeline/application.py
@@ -10,7 +10,7 @@
 from result import Result
 
 from chervilpitch.model import Refusal, RefusalKind, RunState
-from chervilpitch.observe import Outcome
+from chervilpitch.observe import Outcome, part_logger
 from chervilpitch.requests import Reply, before_ticket, refusal_reply, replay
 from chervilpitch.transport.bodies import receive_body
 
@@ -31,6 +31,8 @@
 
 __all__ = ["ADDRESS_PATH", "FILTER_NAMES", "CallersApplication"]
 
+log = part_logger("pipeline")
+
 ADDRESS_PATH = "/.chervilpitch/addresses"
 FILTER_NAMES = (
     "identify",
@@ -87,9 +89,10 @@
         visit = Visit(self._decisions, self._hidden, key_text(headers))
         try:
             answer = self._serve(environ, headers, start_response, visit)
-        except BaseException:
-            visit.leave()
-            raise
+        except Exception:
+            log.exception("A request failed.")
+            refusal = Refusal(RefusalKind.INTERNAL_ERROR, RunState.UNKNOWN)
+            answer = self._refuse(refusal, headers, start_response, visit)
         return Answer(answer, visit)
 
     def _serve(self, environ, headers, start_response, visit):
--- a/src/chervilpitch/pipeline/forward.py
+++ b/src/chervilpitch/pipeline/forward.py
@@ -85,8 +85,10 @@
             failure = UpstreamFailure(FailureStage.CONNECTED_NOTHING_SENT, True)
             return self._fail(exchange, failure)
         sent_at_s = self._clock()
+        request = self._request(exchange, timeout_s)
+        self._decisions.sent(exchange.reservation, is_reused=not request.fresh)
         try:
-            sent = self._upstreams.send(self._request(exchange, timeout_s))
+            sent = self._upstreams.send(request)
         except CallerStalledError:
             return self._fail(exchange, CALLER_FAILURE)
         if sent.is_err():
--- a/src/chervilpitch/requests/answers.py
+++ b/src/chervilpitch/requests/answers.py
@@ -56,6 +56,7 @@
     RefusalKind.UPSTREAM_UNREACHABLE: 502,
     RefusalKind.UPSTREAM_FAILED: 502,
     RefusalKind.DEADLINE_EXCEEDED: 504,
+    RefusalKind.INTERNAL_ERROR: 500,
 }
 
 
--- a/src/chervilpitch/runtime/decisions.py
+++ b/src/chervilpitch/runtime/decisions.py
@@ -193,17 +193,19 @@
 
         A request for which tokens may arrive soon waits for them.
         """
+        effects = ()
         with self._lock:
             now_s = self._clock()
             admitted = limits.admit(self._cores.limits, account, now_s)
-            if admitted.is_ok():
-                return admitted
             give_up_at_s = min(deadline_at_s, now_s + MAX_TOKEN_WAIT_S)
             if not _may_succeed_by(give_up_at_s, admitted):
                 return admitted
             waiting = self._waiting.enter(account)
+            if waiting.is_ok():
+                effects = limits.ask_for_account(self._cores.limits, account, now_s)
         if waiting.is_err():
             return admitted
+        self._cores.carry_out(effects)
         try:
             return self._wait_for_tokens(account, admitted, give_up_at_s)
         finally:
@@ -234,10 +236,23 @@
                 failed,
                 self._clock(),
                 request_bytes=exchange.request.body.length or 0,
-                is_reused=exchange.route.idempotent,
             )
             return reserved.map(self._held)
 
+    def sent(self, held: Held, is_reused: bool) -> None:
+        """Note that a request is sent now, maybe on a connection used before."""
+        with self._lock:
+            number = held.reservation.number
+            health.sent(self._cores.health, number, self._clock(), is_reused=is_reused)
+
+    def progressed(self, held: Held, is_waiting: bool) -> None:
+        """Note that an upstream sent a part, and whether more is waited for."""
+        with self._lock:
+            number = held.reservation.number
+            health.progressed(
+                self._cores.health, number, self._clock(), is_waiting=is_waiting
+            )
+
     def release(self, held: Held, observation) -> None:
         """Give a slot back and take in how the exchange ended."""
         with self._lock:
--- a/src/chervilpitch/runtime/instance.py
+++ b/src/chervilpitch/runtime/instance.py
@@ -143,7 +143,7 @@
         self._shutdown.request()
 
     def _status(self):
-        return as_json(status(self._cores, self._control, self._decisions))
+        return as_json(status(self._cores, self._decisions, self._loop.channel.counts))
 
     def _metrics_page(self):
         return CONTENT_TYPE_LATEST, generate_latest(self._metrics.registry)
--- a/src/chervilpitch/runtime/status.py
+++ b/src/chervilpitch/runtime/status.py
@@ -1,10 +1,10 @@
 """What an instance tells operators of itself."""
 
+from collections.abc import Mapping
 from typing import Any, TypedDict
 
 from chervilpitch import accounts, health, limits, membership
 
-from .control import Control
 from .cores import Cores
 from .decisions import Decisions
 
@@ -30,6 +30,8 @@
         Whether it may mint the rates of its seat.
     in_progress : int
         Requests in progress.
+    peer_bytes : int
+        Bytes sent to and received from other instances.
     instances, upstreams, shares : list
         The fleet, the upstreams and the accounts in use as it sees them.
     """
@@ -42,22 +44,23 @@
     evidence: str
     holds_seat: bool
     in_progress: int
+    peer_bytes: int
     instances: list[Any]
     upstreams: list[Any]
     shares: list[Any]
 
 
-def status(cores: Cores, control: Control, decisions: Decisions) -> Status:
+def status(cores: Cores, decisions: Decisions, counts: Mapping[str, int]) -> Status:
     """Return the status of an instance.
 
     Parameters
     ----------
     cores : Cores
         The decision cores.
-    control : Control
-        Drives the cores.
     decisions : Decisions
         The request path's view of the cores.
+    counts : mapping of str to int
+        Counters of the peers' channel.
 
     Returns
     -------
@@ -75,6 +78,7 @@
             evidence=accounts.evidence(cores.freshness, now_s).value,
             holds_seat=cores.limits.tenure.holds(now_s),
             in_progress=decisions.in_progress,
+            peer_bytes=counts["bytes_sent"] + counts["bytes_received"],
             instances=list(membership.snapshot(cores.membership, now_s)),
             upstreams=[
                 _plain(item) for item in health.snapshot(cores.health, now_s).values()
