--- a/src/chervilpitch/runtime/instance.py
+++ b/src/chervilpitch/runtime/instance.py
@@ -39,6 +39,7 @@
 from .reader import PlatformReader
 from .shutdown import Shutdown
 from .status import status
+from .upkeep import Upkeep
 
 __all__ = ["RunningInstance", "serve"]
 
@@ -82,6 +83,7 @@
             settings.platform.watch_s,
         )
         self._prober = Prober(self._cores)
+        self._upstreams = UpstreamClient()
         self._loop = ControlLoop(
             self._cores,
             self._control,
@@ -89,10 +91,10 @@
             self._journal,
             self._reader.read,
             self._prober.start_due,
+            Upkeep(self._cores, self._upstreams).run,
         )
         callers = settings.callers
         self._decisions = Decisions(self._cores, callers.requests_per_account)
-        self._upstreams = UpstreamClient()
         self._callers = build_server(
             own.callers_address,
             CallersApplication(
--- a/src/chervilpitch/runtime/loop.py
+++ b/src/chervilpitch/runtime/loop.py
@@ -33,16 +33,26 @@
         Takes each wish to read the configuration service.
     probe : callable
         Begins the probes that are due.
+    upkeep : callable
+        Closes connections that are of no use any more.
     """
 
     def __init__(
-        self, cores: Cores, control: Control, secret: bytes, journal, read, probe
+        self,
+        cores: Cores,
+        control: Control,
+        secret: bytes,
+        journal,
+        read,
+        probe,
+        upkeep,
     ):
         self._cores = cores
         self._control = control
         self._journal = journal
         self._read = read
         self._probe = probe
+        self._upkeep = upkeep
         self._channel = PeersChannel(secret, cores.own.name, self._deliver)
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -91,6 +101,7 @@
         while not self._stopping:
             self._control.tick()
             self._probe()
+            self._upkeep()
             self._forget_connections()
             await asyncio.sleep(ASK_INTERVAL_S)
         await asyncio.sleep(ASK_INTERVAL_S)
--- /dev/null
+++ b/src/chervilpitch/runtime/upkeep.py
@@ -0,0 +1,40 @@
+"""Upkeep of the connections to upstreams."""
+
+from chervilpitch import health
+from chervilpitch.transport.upstreams import UpstreamClient
+
+from .cores import Cores
+
+__all__ = ["Upkeep"]
+
+
+class Upkeep:
+    """Closes connections that are of no use any more.
+
+    Parameters
+    ----------
+    cores : Cores
+        The decision cores.
+    upstreams : UpstreamClient
+        Connections to upstreams.
+    """
+
+    def __init__(self, cores: Cores, upstreams: UpstreamClient):
+        self._cores = cores
+        self._upstreams = upstreams
+        self._revision = 0
+
+    def run(self) -> None:
+        """Close connections to silent and to withdrawn upstreams."""
+        cores = self._cores
+        with cores.lock:
+            silent = health.silent_upstreams(cores.health, cores.clock())
+            declared = cores.catalogue.upstreams
+            revision = cores.catalogue.revision
+        for name in silent:
+            if name in declared:
+                self._upstreams.renew(declared[name].address)
+        if revision != self._revision:
+            self._revision = revision
+            in_use = frozenset(item.address for item in declared.values())
+            self._upstreams.forget(in_use)
--- a/src/chervilpitch/transport/upstreams.py
+++ b/src/chervilpitch/transport/upstreams.py
@@ -241,6 +241,19 @@
         for pool in pools:
             pool.close()
 
+    def renew(self, address: str) -> None:
+        """Close the idle connections of an address; later ones are new.
+
+        Parameters
+        ----------
+        address : str
+            Host and port of the upstream.
+        """
+        with self._lock:
+            pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
     def _pool(self, address, connections):
         with self._lock:
             if address not in self._pools:
