--- /dev/null
+++ b/benchmarks/capacity_plan.py
@@ -0,0 +1,72 @@
+"""The planned size, its bounds, and how often each thing happens there."""
+
+__all__ = [
+    "ACCOUNTS_AT_HOME",
+    "ANSWER_KEPT_S",
+    "BETWEEN_DOMAINS_S",
+    "BETWEEN_REGIONS_S",
+    "BOUND_BYTES_PER_S",
+    "BOUND_CORE",
+    "BOUND_MEMORY",
+    "BOUND_READS_PER_S",
+    "BOUND_REQUEST_US",
+    "BOUND_IN_FORCE_S",
+    "BOUND_VALUE_BYTES",
+    "BRIDGE_ADVERTS_PER_S",
+    "CALLERS",
+    "DAEMONS",
+    "DAY_S",
+    "DOMAINS",
+    "HEAD_WATCH_S",
+    "LISTS_PER_DAY",
+    "LIST_WATCH_S",
+    "MESSAGES_PER_S",
+    "NOTES_PER_DAY",
+    "READERS",
+    "REGIONS",
+    "REQUESTS_PER_S",
+    "RESTARTS_PER_DAY",
+    "SETTLE_S",
+    "TICKS_PER_S",
+    "WATCH_ANSWERED_S",
+]
+
+DAY_S = 86_400
+DAEMONS = 3_700
+DOMAINS = 12
+REGIONS = 4
+REQUESTS_PER_S = 470_000 / DAEMONS
+NOTES_PER_DAY = 4_900
+RESTARTS_PER_DAY = 6_500
+LISTS_PER_DAY = 2 * RESTARTS_PER_DAY
+ACCOUNTS_AT_HOME = 100_000 * DOMAINS / DAEMONS
+TICKS_PER_S = 20
+LIST_WATCH_S = 2.0
+CALLERS = 100_000
+ANSWER_KEPT_S = 30.0
+SETTLE_S = 3.0
+WATCH_ANSWERED_S = 0.05
+BETWEEN_REGIONS_S = 0.008
+BETWEEN_DOMAINS_S = 0.001
+READERS = 36
+HEAD_WATCH_S = 2.0
+
+BOUND_CORE = 0.012
+BOUND_MEMORY = 128_000_000
+BOUND_BYTES_PER_S = 26_000
+BOUND_READS_PER_S = 2_000
+BOUND_REQUEST_US = 2_200
+BOUND_IN_FORCE_S = 17.0
+BOUND_VALUE_BYTES = 1_000_000
+
+MESSAGES_PER_S = {
+    "RevisionQuestion": 24.0,
+    "RevisionAnswer": 24.0,
+    "Hello": 18.0,
+    "RevisionAdvert": (9 + 2 + 2) / 2.0,
+    "Claim": 3.0,
+    "Promise": 3.0,
+}
+"""Messages that an instance sends in a quiet second, and receives on average."""
+
+BRIDGE_ADVERTS_PER_S = (31 + 2 + 2) / 2.0
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,13 +1,15 @@
 """Slopes of state, messages, processor time and memory by size.
 
 Run ``python -m benchmarks.slopes [--json PATH] [--only TOPIC]``. Without ``--json``
-the points are printed. Times are processor time of the process, so other work on
-the machine disturbs them less than it would a wall clock, but not nothing.
+the points are printed; with ``--only`` the file's points of other topics stay. Times
+are processor time of the process, which other work on the machine disturbs less
+than a wall clock, but still does.
 """
 
 import argparse
 import json
 import os
+import pathlib
 import platform
 from collections.abc import Callable, Iterable, Iterator
 
@@ -24,7 +26,7 @@
     slopes_spread,
 )
 from .slopes_fleet import FULL, SCALES, sizes
-from .slopes_measure import Point
+from .slopes_measure import REFERENCE, Point, reference
 
 __all__ = ["jobs", "main", "run"]
 
@@ -56,8 +58,9 @@
 def run(only: str = "") -> Iterator[Point]:
     """Yield the points of the topics whose name holds a text."""
     chosen = [(topic, job) for topic, job in jobs() if only in topic]
-    for topic, job in (bar := tqdm(chosen, unit="job")):
+    for number, (topic, job) in enumerate(bar := tqdm(chosen, unit="job")):
         bar.set_description(topic)
+        yield reference(number)
         yield from job()
 
 
@@ -81,11 +84,18 @@
         for point in points:
             print(json.dumps(point))
         return
-    with open(options.json, "w") as file:
-        json.dump(
-            {"machine": machine(), "full": FULL, "points": points}, file, indent=1
-        )
-        file.write("\n")
+    path = pathlib.Path(options.json)
+    if options.only:
+        points = _merged(json.loads(path.read_text())["points"], points)
+    figures = {"machine": machine(), "full": FULL, "points": points}
+    path.write_text(json.dumps(figures, indent=1) + "\n")
+
+
+def _merged(old: list[dict], new: list[dict]) -> list[dict]:
+    """Return the new points and the old ones of other topics."""
+    topics = {point["topic"] for point in new} - {REFERENCE}
+    kept = [point for point in old if point["topic"] not in topics]
+    return kept + [point for point in new if point["topic"] in topics]
 
 
 if __name__ == "__main__":
--- a/benchmarks/slopes_measure.py
+++ b/benchmarks/slopes_measure.py
@@ -7,13 +7,15 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-__all__ = ["Point", "held_bytes", "timed", "value"]
+__all__ = ["REFERENCE", "Point", "held_bytes", "reference", "timed", "value"]
 
 US_PER_S = 1e6
 REPEATS = 5
 ENOUGH_S = 0.02
+REFERENCE = "machine"
+REFERENCE_ITEMS = 10_000
 LONG_S = 0.3
-LONG_REPEATS = 3
+FURTHER_REPEATS = 2
 VERY_LONG_S = 4.0
 
 
@@ -72,8 +74,8 @@
     gc.collect()
     first_s = _run_s(call, 1)
     runs = max(1, round(ENOUGH_S / max(first_s, 1e-7)))
-    repeats = _repeats(first_s)
-    taken = [_run_s(call, runs) / runs for _ in range(repeats)] or [first_s]
+    taken = [first_s] * (first_s > LONG_S)
+    taken += [_run_s(call, runs) / runs for _ in range(_repeats(first_s))]
     median_us = statistics.median(taken) * US_PER_S
     least_us = min(taken) * US_PER_S
     return Point(topic, name, "us", per, size, median_us, least_us, len(taken))
@@ -82,7 +84,7 @@
 def _repeats(first_s: float) -> int:
     if first_s > VERY_LONG_S:
         return 0
-    return LONG_REPEATS if first_s > LONG_S else REPEATS
+    return FURTHER_REPEATS if first_s > LONG_S else REPEATS
 
 
 def held_bytes(make: Callable[[], Any]) -> tuple[int, Any]:
@@ -108,6 +110,24 @@
     return after - before, made
 
 
+def reference(number: int) -> Point:
+    """Return the time of work that never changes: the speed of the machine now.
+
+    Parameters
+    ----------
+    number : int
+        How many measurements came before.
+
+    Returns
+    -------
+    Point
+        Of a loop over a mapping.
+    """
+    items = {str(n): n for n in range(REFERENCE_ITEMS)}
+    call = lambda: sum(items[str(n)] for n in range(REFERENCE_ITEMS))  # noqa: E731
+    return timed(REFERENCE, "reference loop", "measurements", number, call)
+
+
 def _run_s(call: Callable[[], Any], runs: int) -> float:
     started_s = time.process_time()
     for _ in range(runs):
--- a/benchmarks/slopes_peers.py
+++ b/benchmarks/slopes_peers.py
@@ -21,6 +21,7 @@
 SECRET = b"s" * 32
 PEERS = (25, 50, 100, 200)
 SETTLE_S = 0.5
+MAX_FRAME_BYTES = 4_096
 
 
 def resident() -> Iterator[Point]:
@@ -34,14 +35,23 @@
 def measure() -> Iterator[Point]:
     """Yield the bytes held for each peer to which a message was sent once."""
     for size in PEERS:
-        held = asyncio.run(_held(size))
+        received = PeersChannel(SECRET, "b", lambda envelope: None)
+        held = asyncio.run(_held(size, received._receive_all))
         name = "connection out and in"
         yield value(TOPIC, name, "bytes", "peers", size, held)
+        held = asyncio.run(_held(size, _close_early))
+        name = "connection out, closed by the peer"
+        yield value(TOPIC, name, "bytes", "peers", size, held)
+
+
+async def _close_early(reader, writer):
+    """Read one frame and close, as a peer does after its idle limit."""
+    await reader.read(MAX_FRAME_BYTES)
+    writer.close()
 
 
-async def _held(count: int) -> int:
-    received = PeersChannel(SECRET, "b", lambda envelope: None)
-    servers = [await _listen(received) for _ in range(count)]
+async def _held(count: int, receive) -> int:
+    servers = [await _listen(receive) for _ in range(count)]
     addresses = [_address(server) for server in servers]
     channel = PeersChannel(SECRET, "a", lambda envelope: None)
     envelope = Envelope(Sender("a", 1), "b", 0, 0, RevisionQuestion(1))
@@ -60,8 +70,8 @@
     return held
 
 
-async def _listen(channel):
-    return await asyncio.start_server(channel._receive_all, "127.0.0.1", 0)
+async def _listen(receive):
+    return await asyncio.start_server(receive, "127.0.0.1", 0)
 
 
 def _address(server):
--- a/benchmarks/slopes_routing.py
+++ b/benchmarks/slopes_routing.py
@@ -42,6 +42,7 @@
         seats,
         lambda: routing.serving_seats("service-0007", before.seats, 330),
     )
+    yield from _connections(state, seats)
     yield from _routes(before)
     yield from _reached(before)
 
@@ -51,6 +52,17 @@
     return routing.RoutingState(0, DOMAINS[0], held, random.Random(1))
 
 
+def _connections(state, seats) -> Iterator[Point]:
+    """Yield the most connections of all instances to one upstream."""
+    most = max(
+        share.users * routing.connections_allowed(state, upstream.name)
+        for share in state.shares.values()
+        for upstream in share.upstreams
+    )
+    name = "connections of the fleet to one upstream"
+    yield value(TOPIC, name, "connections", "daemons", seats, most)
+
+
 def _routes(before) -> Iterator[Point]:
     size = len(before.routes)
     taken, table = held_bytes(lambda: routing.build_table(before))
