--- a/src/chervilpitch/limits/borrowing.py
+++ b/src/chervilpitch/limits/borrowing.py
@@ -23,6 +23,7 @@
 SMALLEST_PEAK = 0.5
 IDLE_DEMAND_PER_S = 0.05
 SMALLEST_TOKENS = 1e-6
+SMALLEST_ASKED = 1.0
 
 
 class BorrowedLoan(NamedTuple):
@@ -158,6 +159,12 @@
         -------
         float
             Tokens wanted beyond those on hand and those asked for.
+
+        Notes
+        -----
+        After a refusal a whole token is asked for at least. The sum of a fraction
+        at hand and the rest of a token may be rounded to less than one, and the
+        account would be refused until its loans end.
         """
         self._target = self._supply(rate_per_s, burst)
         target = min(max(self._target, self._unserved), burst)
@@ -166,7 +173,7 @@
         self._unserved = 0.0
         if lacking <= SMALLEST_TOKENS or (not urgent and lacking < target / 4):
             return 0.0
-        return lacking
+        return max(lacking, SMALLEST_ASKED) if urgent else lacking
 
     def ask(self, number: int, tokens: float) -> None:
         """Note that a request for tokens is on its way."""
--- /dev/null
+++ b/tests/whole/test_detection.py
@@ -0,0 +1,45 @@
+"""Detection of a gray upstream under load, in separate processes."""
+
+import threading
+
+import pytest
+
+from standins.caller import CallerStandIn
+from standins.demo import KEY, start_small_fleet, wait_until_served
+from standins.fleet import FleetProcesses, wait_until
+
+CALLERS = 6
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with FleetProcesses(tmp_path / "fleet") as processes:
+        start_small_fleet(processes, upstreams=6)
+        wait_until_served(processes, processes.places["instance-0"].callers)
+        yield processes
+
+
+def test_a_slow_upstream_is_ejected_under_load(fleet):
+    entry = fleet.places["instance-0"].callers
+    ended = threading.Event()
+
+    def send():
+        caller = CallerStandIn(KEY)
+        while not ended.is_set():
+            caller.send(entry, "/catalogue/1")
+
+    def is_ejected():
+        upstreams = fleet.status("instance-0")["upstreams"]
+        states = {item["name"]: item["state"] for item in upstreams}
+        return states["desk-0"] == "ejected"
+
+    threads = [threading.Thread(target=send) for _ in range(CALLERS)]
+    for thread in threads:
+        thread.start()
+    try:
+        fleet.set_faults("desk-0", "slow 2")
+        wait_until(is_ejected, "desk-0")
+    finally:
+        ended.set()
+        for thread in threads:
+            thread.join()
