Keep the control alive when a step fails; report ejections to neighbours

Cause: the first ejection of an instance raised AttributeError in the control thread (membership had renamed what names the neighbours); the thread ended without a word, loans and heartbeats stopped, and requests were refused as rate-exceeded. This is the cause of the refusals in tests/whole/test_upstream_faults.py. Change: neighbours by the present name; a step that fails is logged and put on the time line, and the others go on.

--- a/src/chervilpitch/runtime/control.py
+++ b/src/chervilpitch/runtime/control.py
@@ -152,7 +152,7 @@
         report = health.report(cores.health, now_s)
         if report is None:
             return ()
-        return tuple(Send(name, report) for name in cores.membership.neighbours)
+        return tuple(Send(name, report) for name in cores.membership.expected_since_s)
 
     @singledispatchmethod
     def _take(self, message, sender, now_s):
--- a/src/chervilpitch/runtime/loop.py
+++ b/src/chervilpitch/runtime/loop.py
@@ -4,8 +4,8 @@
 import threading
 
 from chervilpitch.limits import ASK_INTERVAL_S
-from chervilpitch.model import Effect, Record, Send
-from chervilpitch.observe import Clock
+from chervilpitch.model import Effect, Event, Record, Send
+from chervilpitch.observe import Clock, part_logger
 from chervilpitch.spread import ReadPlatform
 from chervilpitch.transport.codec import Envelope
 from chervilpitch.transport.peers import PeersChannel
@@ -15,6 +15,8 @@
 
 __all__ = ["ControlLoop"]
 
+log = part_logger("runtime")
+
 
 class ControlLoop:
     """Runs the control of one instance in a thread of its own.
@@ -99,14 +101,28 @@
         await self._channel.listen(self._cores.own.peers_address)
         self._listening.set()
         while not self._stopping:
-            self._control.tick()
-            self._probe()
-            self._upkeep()
-            self._forget_connections()
+            self._do_what_is_due()
             await asyncio.sleep(ASK_INTERVAL_S)
         await asyncio.sleep(ASK_INTERVAL_S)
         await self._channel.close()
 
+    def _do_what_is_due(self):
+        """Do every step, even when one fails."""
+        steps = (
+            self._control.tick,
+            self._probe,
+            self._upkeep,
+            self._forget_connections,
+        )
+        for step in steps:
+            try:
+                step()
+            except Exception as failure:
+                log.exception("A step failed.")
+                detail = type(failure).__name__
+                event = Event("runtime", "step-failed", step.__qualname__, detail)
+                self._journal.record(event)
+
     def _forget_connections(self):
         known = self._control.instances.values()
         self._channel.forget(frozenset(item.peers_address for item in known))
--- a/tests/runtime/test_control.py
+++ b/tests/runtime/test_control.py
@@ -3,7 +3,8 @@
 import pytest
 from hypothesis import given
 
-from chervilpitch.model import Instance, Sender
+from chervilpitch import health
+from chervilpitch.model import Instance, Send, Sender
 from chervilpitch.runtime.control import Control
 from chervilpitch.runtime.cores import Cores
 from chervilpitch.transport.codec import MESSAGE_TYPES, Envelope, decode, encode
@@ -41,3 +42,14 @@
     for message in messages:
         envelope = Envelope(Sender("a", 1), "b", 1, 0, message)
         assert decode(encode(envelope)).unwrap() == envelope
+
+
+def test_ejections_are_reported_to_neighbours(control, effects, monkeypatch):
+    listed = {"a": OWN, "b": Instance("b", 1, "punjab/b", "127.0.0.1:3", "127.0.0.1:4")}
+    control.follow_list(listed)
+    control.tick()
+    report = health.HealthReport(("desk-0",))
+    monkeypatch.setattr(health, "report", lambda state, now_s: report)
+    effects.clear()
+    control.tick()
+    assert Send("b", report) in effects
