Tick each core as often as it needs

Cause: every core ticked 20 times a second, and the fleet was compared each time. Change: limits every 50 ms, health every 100 ms, the rest every 500 ms.

--- a/src/chervilpitch/runtime/control.py
+++ b/src/chervilpitch/runtime/control.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Control"]
 
+HEALTH_PERIOD_S = 0.1
+FLEET_PERIOD_S = 0.5
+
 
 class Control:
     """Drives the decision cores of one instance.
@@ -32,6 +35,8 @@
     def __init__(self, cores: Cores):
         self._cores = cores
         self._instances: Mapping[str, Instance] = {}
+        self._health_due_at_s = float("-inf")
+        self._fleet_due_at_s = float("-inf")
 
     @property
     def instances(self) -> Mapping[str, Instance]:
@@ -55,19 +60,17 @@
         cores.carry_out(effects)
 
     def tick(self) -> None:
-        """Do what falls due in every core."""
+        """Do what falls due in every core; call it every 50 ms."""
         cores = self._cores
         with cores.lock:
             now_s = cores.clock()
-            effects = membership.tick(cores.membership, now_s)
-            effects += self._follow_instances(now_s)
-            effects += health.tick(cores.health, now_s)
-            effects += limits.tick(cores.limits, now_s)
-            effects += questions.tick(cores.questions, now_s)
-            effects += accounts.tick(cores.freshness, now_s)
-            effects += requests.tick(cores.records, now_s)
-            effects += self._spread(spread.tick(cores.spread, now_s))
-            effects += self._health_reports(now_s)
+            effects = limits.tick(cores.limits, now_s)
+            if now_s >= self._health_due_at_s:
+                self._health_due_at_s = now_s + HEALTH_PERIOD_S
+                effects += self._tick_health(now_s)
+            if now_s >= self._fleet_due_at_s:
+                self._fleet_due_at_s = now_s + FLEET_PERIOD_S
+                effects += self._tick_fleet(now_s)
         cores.carry_out(effects)
 
     def platform_answered(self, event: spread.PlatformEvent) -> None:
@@ -115,6 +118,19 @@
             )
         cores.carry_out(effects)
 
+    def _tick_health(self, now_s) -> tuple[Effect, ...]:
+        effects = health.tick(self._cores.health, now_s)
+        return effects + self._health_reports(now_s)
+
+    def _tick_fleet(self, now_s) -> tuple[Effect, ...]:
+        cores = self._cores
+        effects = membership.tick(cores.membership, now_s)
+        effects += self._follow_instances(now_s)
+        effects += questions.tick(cores.questions, now_s)
+        effects += accounts.tick(cores.freshness, now_s)
+        effects += requests.tick(cores.records, now_s)
+        return effects + self._spread(spread.tick(cores.spread, now_s))
+
     def _follow_instances(self, now_s) -> tuple[Effect, ...]:
         cores = self._cores
         known = membership.instances(cores.membership, now_s)
--- a/tests/runtime/test_control.py
+++ b/tests/runtime/test_control.py
@@ -8,6 +8,7 @@
 from chervilpitch.runtime.control import Control
 from chervilpitch.runtime.cores import Cores
 from chervilpitch.transport.codec import MESSAGE_TYPES, Envelope, decode, encode
+from tests.clocks import Clock
 from tests.strategies import values_of
 
 OWN = Instance("a", 0, "punjab/a", "127.0.0.1:1", "127.0.0.1:2")
@@ -19,8 +20,13 @@
 
 
 @pytest.fixture
-def control(effects):
-    cores = Cores(OWN, 1, b"a secret of the fleet", lambda: 100.0, 5, effects.extend)
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def control(clock, effects):
+    cores = Cores(OWN, 1, b"a secret of the fleet", clock, 5, effects.extend)
     return Control(cores)
 
 
@@ -44,12 +50,13 @@
         assert decode(encode(envelope)).unwrap() == envelope
 
 
-def test_ejections_are_reported_to_neighbours(control, effects, monkeypatch):
+def test_ejections_are_reported_to_neighbours(control, clock, effects, monkeypatch):
     listed = {"a": OWN, "b": Instance("b", 1, "punjab/b", "127.0.0.1:3", "127.0.0.1:4")}
     control.follow_list(listed)
     control.tick()
     report = health.HealthReport(("desk-0",))
     monkeypatch.setattr(health, "report", lambda state, now_s: report)
     effects.clear()
+    clock.now_s += 1.0
     control.tick()
     assert Send("b", report) in effects
--- a/tests/runtime/test_decisions.py
+++ b/tests/runtime/test_decisions.py
@@ -10,21 +10,12 @@
 from chervilpitch.runtime.decisions import Decisions
 from chervilpitch.spread import PlatformHead, PlatformValue, Suspended
 from standins import notes as sections
+from tests.clocks import Clock
 
 OWN = Instance("a", 0, "punjab/a", "127.0.0.1:1", "127.0.0.1:2")
 KEY = "an example key"
 
 
-class Clock:
-    """A clock that a test sets."""
-
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
-
-
 @pytest.fixture
 def clock():
     return Clock()
