Wait before connecting again to a peer that closed

Cause: a link connected again at once after its connection was lost, so a peer that closes each connection was pressed in a loop.

--- a/src/chervilpitch/transport/peers.py
+++ b/src/chervilpitch/transport/peers.py
@@ -242,7 +242,11 @@
         self._transport = None
         self._counts["connections_ended"] += 1
         if not self._is_closed:
-            self._connecting = asyncio.ensure_future(self._connect())
+            self._connecting = asyncio.ensure_future(self._connect_again())
+
+    async def _connect_again(self):
+        await asyncio.sleep(RECONNECT_S)
+        await self._connect()
 
     async def _connect(self):
         loop = asyncio.get_running_loop()
