Say not-run only when no attempt may have run; give slots back on failures

Cause: found in the read-through. After an attempt that may have run, a retry that could not connect or was shed made the refusal say not-run; an unexpected failure of an attempt kept its slot. Change: the run state of earlier attempts stands; the slot is given back; the capacity benchmark follows the peers' channel and the slower ticks.

--- a/benchmarks/capacity_breaks.py
+++ b/benchmarks/capacity_breaks.py
@@ -75,7 +75,8 @@
     routed = math.sqrt(note_us / whole) * plan.DAEMONS
     ticks = _size_at(points.fit("control", "tick of all cores"), tick_us)
     limits = _size_at(points.fit("limits", "tick"), tick_us)
-    health = _size_at(points.fit("health", "tick"), tick_us)
+    health_us = plan.BOUND_CORE / plan.HEALTH_TICKS_PER_S * US_PER_S
+    health = _size_at(points.fit("health", "tick"), health_us)
     settled = _size_at(points.fit("limits", "put_in_force"), note_us)
     used = points.last("routing", "upstreams in use")
     accounts = points.full["accounts"]
--- a/src/chervilpitch/pipeline/application.py
+++ b/src/chervilpitch/pipeline/application.py
@@ -146,7 +146,11 @@
         answer = exchange.answer
         headers = _answer_headers(exchange)
         self._metrics.count_request(Outcome(exchange.route.name))
-        start_response(_status_line(answer.status), self._closing(headers))
+        try:
+            start_response(_status_line(answer.status), self._closing(headers))
+        except BaseException:
+            delivery.close()
+            raise
         if exchange.request.method == "HEAD":
             delivery.close()
             return []
--- a/src/chervilpitch/pipeline/forward.py
+++ b/src/chervilpitch/pipeline/forward.py
@@ -68,17 +68,25 @@
             if reserved.is_err():
                 return Err(refusal or reserved.unwrap_err())
             reservation = reserved.unwrap()
-            attempt = self._attempt(exchange._replace(reservation=reservation))
+            attempt = self._guarded(exchange._replace(reservation=reservation))
             if attempt.is_ok():
                 return attempt
             failure = attempt.unwrap_err()
-            refusal = _refusal_of(failure)
+            refusal = _after(refusal, _refusal_of(failure))
             failed |= {reservation.upstream}
             if failure is CALLER_FAILURE or not self._decisions.may_retry(
                 exchange, failure.stage, len(failed)
             ):
                 return Err(refusal)
 
+    def _guarded(self, exchange) -> Result[Exchange, UpstreamFailure]:
+        """Make an attempt; give the slot back when it fails unexpectedly."""
+        try:
+            return self._attempt(exchange)
+        except BaseException:
+            self._decisions.release(exchange.reservation, observations.Abandoned())
+            raise
+
     def _attempt(self, exchange) -> Result[Exchange, UpstreamFailure]:
         timeout_s = exchange.deadline_at_s - self._clock()
         if timeout_s <= 0:
@@ -155,6 +163,13 @@
     return body.whole or None
 
 
+def _after(earlier: Refusal | None, latest: Refusal) -> Refusal:
+    """Return the latest refusal; not run only if no earlier attempt may have run."""
+    if earlier is not None and earlier.run is not RunState.NOT_RUN:
+        return latest._replace(run=earlier.run)
+    return latest
+
+
 def _refusal_of(failure: UpstreamFailure) -> Refusal:
     if failure is CALLER_FAILURE:
         return Refusal(RefusalKind.CALLER_STALLED, RunState.UNKNOWN)
--- a/src/chervilpitch/transport/peers.py
+++ b/src/chervilpitch/transport/peers.py
@@ -121,11 +121,13 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Incoming(FrameReader(self._secret), self._take),
-            host.strip("[]"),
-            int(port),
+            self.incoming, host.strip("[]"), int(port)
         )
 
+    def incoming(self) -> asyncio.Protocol:
+        """Return the protocol of a connection that a peer makes."""
+        return _Incoming(FrameReader(self._secret), self._take)
+
     def send(self, address: str, envelope: Envelope) -> None:
         """Send an envelope to a peer, or drop it.
 
