--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -2,12 +2,15 @@
 
 import importlib
 import inspect
+import pathlib
 import typing
 
+import capnp
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from chervilpitch.errors import FrameError
 from chervilpitch.model import Sender
 from chervilpitch.transport import codec
 from tests.strategies import values_of
@@ -54,3 +57,39 @@
 def test_a_truncated_envelope_never_raises(data):
     payload = codec.encode(envelope(codec.MESSAGE_TYPES["claim"](1, 2)))
     codec.decode(payload[: data.draw(st.integers(0, len(payload)))])
+
+
+@pytest.fixture
+def next_schema(tmp_path):
+    """Return the schema as the next release may have it."""
+    path = pathlib.Path(codec.__file__).with_name("peers.capnp")
+    text = path.read_text()
+    text = text.replace("  body :union {", "  body :union {\n    later @21 :Release;")
+    text = text.replace("struct Claim {", "struct Claim {\n  reason @2 :Text;")
+    newer = tmp_path / "peers.capnp"
+    newer.write_text(text)
+    return capnp.SchemaParser().load(str(newer))
+
+
+def next_envelope(next_schema, **body):
+    fields = {"version": 2, "sender": "a", "incarnation": 5, "receiver": "b"}
+    message = next_schema.Envelope.new_message(**fields, wallNs=1, logical=2, body=body)
+    return message.to_bytes_packed()
+
+
+def test_a_message_of_the_next_release_is_refused_by_type(next_schema):
+    payload = next_envelope(next_schema, later={"seat": 3})
+    assert isinstance(codec.decode(payload).unwrap_err(), FrameError)
+
+
+def test_a_field_of_the_next_release_is_passed_over(next_schema):
+    claim = {"seat": 3, "number": 4, "reason": "later"}
+    payload = next_envelope(next_schema, claim=claim)
+    message = codec.decode(payload).unwrap().message
+    assert message == codec.MESSAGE_TYPES["claim"](3, 4)
+
+
+def test_the_next_release_reads_what_this_one_writes(next_schema):
+    payload = codec.encode(envelope(codec.MESSAGE_TYPES["claim"](3, 4)))
+    read = next_schema.Envelope.from_bytes_packed(payload)
+    assert (read.body.claim.seat, read.body.claim.reason) == (3, "")
