--- a/benchmarks/slopes_limits.py
+++ b/benchmarks/slopes_limits.py
@@ -59,13 +59,14 @@
 
 def _seats(before, listed) -> Iterator[Point]:
     seats = len(before.seats)
+    groups = limits.group_seats(before.seats)
     numbers = itertools.count()
     yield timed(
         TOPIC,
         "home seats of an account not asked for before",
         "daemons",
         seats,
-        lambda: limits.home_seats(f"new-{next(numbers)}", before.seats),
+        lambda: limits.home_seats(f"new-{next(numbers)}", groups),
     )
     state = limits.LimitState(OWN, 0)
     yield timed(
--- a/benchmarks/slopes_routing.py
+++ b/benchmarks/slopes_routing.py
@@ -79,7 +79,9 @@
 def _reached(before: Catalogue) -> Iterator[Point]:
     """Yield the share of homes of accounts that may use a service."""
     seats = before.seats
-    homes = [set(limits.home_seats(f"account-{n:06d}", seats)) for n in range(SAMPLED)]
+    groups = limits.group_seats(seats)
+    names = [f"account-{n:06d}" for n in range(SAMPLED)]
+    homes = [set(limits.home_seats(name, groups)) for name in names]
     serving = [
         set(routing.serving_seats(f"service-{n:04d}", seats, 330))
         for n in range(SAMPLED)
