--- a/src/chervilpitch/cli/timeline.py
+++ b/src/chervilpitch/cli/timeline.py
@@ -65,7 +65,7 @@
             case "svg":
                 return render_svg(merged)
             case "html":
-                return render_html(merged)
+                return render_html(merged, "Time line of the fleet")
         return render_text(merged)
 
     def _write(self, text: str) -> None:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,12 +1,17 @@
 """Commands, their output and their exit codes."""
 
 import json
+import threading
 
 import pytest
 from cleo.testers.application_tester import ApplicationTester
 
 from chervilpitch.cli import build_application
 from chervilpitch.cli.exits import ExitCode
+from chervilpitch.model import Event
+from chervilpitch.observe import Stamp, StampedEvent, encode_events
+from chervilpitch.transport.admin import AdminApplication, build_admin_server
+from standins.fleet import free_address, wait_for
 
 NOTE = """[note]
 revision = 1
@@ -62,6 +67,29 @@
     assert "[platform]" in program.io.fetch_error()
 
 
+@pytest.fixture
+def admin():
+    """Return the address of a page server with one event."""
+    stamped = StampedEvent(Stamp(5, 0, "a"), 0, Event("limits", "seat-held", "0"), 1)
+    lines = encode_events([stamped]).encode()
+    application = AdminApplication({"/events": lambda: ("application/jsonl", lines)})
+    address = free_address()
+    server = build_admin_server(address, application)
+    thread = threading.Thread(target=server.safe_start, daemon=True)
+    thread.start()
+    wait_for(address)
+    yield address
+    server.stop()
+
+
+@pytest.mark.parametrize("form", ["text", "json", "svg", "html"])
+def test_the_time_line_is_written_in_every_form(program, admin, tmp_path, form):
+    path = tmp_path / "run"
+    command = f"timeline {admin} --format {form} --output {path}"
+    assert program.execute(command) == ExitCode.FINE
+    assert "seat-held" in path.read_text()
+
+
 @pytest.mark.parametrize("command", ["status", "address"])
 def test_an_unreachable_instance_has_its_exit_code(program, command):
     assert program.execute(f"{command} 127.0.0.1:1") == ExitCode.UNREACHABLE
