--- a/src/chervilpitch/pipeline/headers.py
+++ b/src/chervilpitch/pipeline/headers.py
@@ -6,8 +6,8 @@
 from chervilpitch.transport.upstreams import HOP_BY_HOP, Headers
 
 __all__ = [
-    "key_text",
     "end_to_end",
+    "key_text",
     "presented_key",
     "sent_by_caller",
     "ticket_text",
--- a/src/chervilpitch/transport/admin.py
+++ b/src/chervilpitch/transport/admin.py
@@ -5,7 +5,7 @@
 
 from cheroot import wsgi
 
-__all__ = ["AdminApplication", "build_admin_server"]
+__all__ = ["AdminApplication", "as_json", "build_admin_server"]
 
 THREADS = 2
 
