Serve the users' platform: adapter, policies and an event-driven gateway, thin

The request path of the first interface holds a thread for each request, so it cannot notice that a caller has left while an upstream is silent, and an upstream that hangs takes threads. The gateway is an event loop with h11 on both sides.

--- a/src/chervilpitch/cli/main.py
+++ b/src/chervilpitch/cli/main.py
@@ -8,7 +8,7 @@
 
 from .fleet import AddressCommand, StatusCommand
 from .notes import CheckCommand, DiffCommand
-from .serve import ServeCommand, SettingsCommand
+from .serve import GatewayCommand, ServeCommand, SettingsCommand
 from .timeline import TimelineCommand
 
 __all__ = ["build_application", "main"]
@@ -17,6 +17,7 @@
     AddressCommand,
     CheckCommand,
     DiffCommand,
+    GatewayCommand,
     ServeCommand,
     SettingsCommand,
     StatusCommand,
--- a/src/chervilpitch/cli/serve.py
+++ b/src/chervilpitch/cli/serve.py
@@ -1,15 +1,16 @@
 """The ``serve`` and ``settings`` commands."""
 
 from cleo.commands.command import Command
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 
 from chervilpitch import settings
+from chervilpitch.gateway.process import run_gateway
 from chervilpitch.runtime.instance import serve
 
 from .exits import ExitCode
 from .output import JSON_OPTION, print_problems
 
-__all__ = ["ServeCommand", "SettingsCommand"]
+__all__ = ["GatewayCommand", "ServeCommand", "SettingsCommand"]
 
 
 class SettingsCommand(Command):
@@ -51,3 +52,29 @@
             print_problems(self, (ended.unwrap_err(),))
             return ExitCode.BAD_SETTINGS
         return ExitCode.FINE
+
+
+class GatewayCommand(Command):
+    """Run one instance on the users' platform."""
+
+    name = "gateway"
+    description = "Run one instance on the users' platform until SIGTERM."
+    arguments = [argument("file", "INI file of settings.")]
+    options = [
+        JSON_OPTION,
+        option("check", None, "Check the settings only.", flag=True),
+    ]
+    help = "Example: chervilpitch gateway /etc/chervilpitch/gateway.ini"
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        path = self.argument("file")
+        loaded = settings.load_gateway(path)
+        if loaded.is_err():
+            print_problems(self, loaded.unwrap_err())
+            return ExitCode.BAD_SETTINGS
+        if self.option("check"):
+            self.line(f"{path}: fine")
+            return ExitCode.FINE
+        run_gateway(loaded.unwrap(), path)
+        return ExitCode.FINE
--- /dev/null
+++ b/src/chervilpitch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: sockets and tasks around the decisions of ``policy``."""
--- /dev/null
+++ b/src/chervilpitch/gateway/__main__.py
@@ -0,0 +1,27 @@
+"""Runs an instance whose settings file the environment names."""
+
+import os
+import sys
+
+from chervilpitch.cli.exits import ExitCode
+from chervilpitch.settings import load_gateway
+
+from .process import run_gateway
+
+SETTINGS_VARIABLE = "CHERVILPITCH_CONFIG"
+
+
+def main() -> int:
+    """Run the instance and return the exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    loaded = load_gateway(path)
+    if loaded.is_err():
+        for problem in loaded.unwrap_err():
+            print(problem, file=sys.stderr)
+        return ExitCode.BAD_SETTINGS
+    run_gateway(loaded.unwrap(), path)
+    return ExitCode.FINE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/chervilpitch/gateway/codec.py
@@ -0,0 +1,102 @@
+"""Cap'n Proto coding of the messages between instances of a gateway."""
+
+import pathlib
+import zlib
+from typing import Any, NamedTuple
+
+import capnp
+from result import Err, Ok, Result
+
+from chervilpitch.errors import FrameError
+from chervilpitch.transport.structs import to_plain, to_typed
+
+from .messages import (
+    Evidence,
+    MemberWords,
+    RegionUsage,
+    StateAnswer,
+    StateQuestion,
+)
+
+__all__ = ["MESSAGE_TYPES", "Datagram", "decode", "encode"]
+
+VERSION = 1
+SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("gateway.capnp")))
+LARGEST_MESSAGE_BYTES = 4_194_304
+COMPRESSED_FROM_BYTES = 600
+PLAIN, COMPRESSED = b"\0", b"\1"
+
+MESSAGE_TYPES = {
+    "memberWords": MemberWords,
+    "evidence": Evidence,
+    "regionUsage": RegionUsage,
+    "stateQuestion": StateQuestion,
+    "stateAnswer": StateAnswer,
+}
+_NAMES = {kind: name for name, kind in MESSAGE_TYPES.items()}
+
+
+class Datagram(NamedTuple):
+    """A message with its origin.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the instance that sent it.
+    incarnation : int
+        Unix millisecond of the sender's start.
+    message : NamedTuple
+        One of ``MESSAGE_TYPES``.
+    """
+
+    sender: str
+    incarnation: int
+    message: Any
+
+
+def encode(datagram: Datagram) -> bytes:
+    """Return the bytes of a datagram; large ones are compressed."""
+    name = _NAMES[type(datagram.message)]
+    content = SCHEMA.Envelope.new_message(
+        version=VERSION,
+        sender=datagram.sender,
+        incarnation=datagram.incarnation,
+        body={name: to_plain(datagram.message)},
+    ).to_bytes_packed()
+    if len(content) < COMPRESSED_FROM_BYTES:
+        return PLAIN + content
+    return COMPRESSED + zlib.compress(content)
+
+
+def decode(payload: bytes) -> Result[Datagram, FrameError]:
+    """Read a datagram.
+
+    Returns
+    -------
+    Result
+        The datagram, or an error for one that is malformed or that this version
+        does not know.
+    """
+    try:
+        fields = SCHEMA.Envelope.from_bytes_packed(
+            _content(payload), traversal_limit_in_words=LARGEST_MESSAGE_BYTES
+        ).to_dict()
+        name, content = next(iter(fields["body"].items()))
+        message = to_typed(MESSAGE_TYPES[name], content)
+        return Ok(Datagram(fields["sender"], fields["incarnation"], message))
+    except (
+        capnp.KjException,
+        KeyError,
+        TypeError,
+        ValueError,
+        StopIteration,
+        zlib.error,
+    ) as error:
+        return Err(FrameError(type(error).__name__))
+
+
+def _content(payload: bytes) -> bytes:
+    if payload[:1] == COMPRESSED:
+        inflater = zlib.decompressobj()
+        return inflater.decompress(payload[1:], LARGEST_MESSAGE_BYTES)
+    return payload[1:]
--- /dev/null
+++ b/src/chervilpitch/gateway/fleet.py
@@ -0,0 +1,269 @@
+"""What the instances of a gateway tell each other, and when."""
+
+import random
+from functools import singledispatchmethod
+
+from chervilpitch.model import StoreItem
+from chervilpitch.observe import part_logger
+from chervilpitch.policy import (
+    AccountUsage,
+    MemberState,
+    UsageTotals,
+    is_reader,
+    sources,
+)
+
+from .codec import Datagram
+from .messages import (
+    Evidence,
+    MemberWords,
+    RegionUsage,
+    StateAnswer,
+    StateQuestion,
+)
+from .peers import PeerSocket
+from .state import GatewayState
+
+__all__ = ["Fleet"]
+
+log = part_logger("fleet")
+
+NO_PROOF_S = 1e6
+UNANSWERED_S = 0.6
+MOST_BEATS = 16
+
+
+class Fleet:
+    """This instance among the others.
+
+    Parameters
+    ----------
+    state : GatewayState
+        What the instance knows.
+    seeds : tuple of str
+        Peers' addresses of instances that are probably there.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, state: GatewayState, seeds: tuple[str, ...], clock):
+        self._state = state
+        self._members = state.members
+        self._seeds = seeds
+        self._clock = clock
+        self._totals = UsageTotals()
+        self._told_usage: dict[str, int] = {}
+        self._question = 0
+        self._asked_at_s: dict[int, float] = {}
+        self._source = 0
+        self._is_reading = True
+        self._socket = PeerSocket(self._members.own, self.receive)
+
+    @property
+    def socket(self) -> PeerSocket:
+        """The socket to other instances."""
+        return self._socket
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether this instance reads the store itself."""
+        return self._is_reading
+
+    def follow_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other seeds."""
+        self._seeds = seeds
+
+    def decide_reading(self) -> bool:
+        """Decide whether this instance reads the store itself, and return it."""
+        now_s = self._clock()
+        age_s = self._state.freshness.age_s(now_s)
+        ranked = self._members.ranked(now_s)
+        reads = is_reader(ranked, self._members.own, age_s, self._is_reading)
+        if reads != self._is_reading:
+            log.info("Reading changes.", reads=reads, proof_age_s=round(age_s, 2))
+        self._is_reading = reads
+        return reads
+
+    def beat(self) -> None:
+        """Tell others that this instance is there, and what it knows of others."""
+        now_s = self._clock()
+        own = self._members.beat(self._own_state())
+        for member in self._members.forget(now_s):
+            log.info("Instance forgotten.", instance=member.name)
+        near = self._members.in_region(now_s)
+        heard = near if len(near) <= MOST_BEATS else random.sample(near, MOST_BEATS)
+        self._send(heard, MemberWords((own,), False))
+        alive = self._members.alive(now_s)
+        if near:
+            self._send([random.choice(near)], MemberWords((own, *alive), False))
+        if not near or random.random() < 1 / (4 * len(near)):
+            self._socket.send(self._other_seeds(), MemberWords((own,), True))
+
+    def say_leaving(self) -> None:
+        """Tell every instance at once that this one is stopping."""
+        own = self._members.beat(MemberState.LEAVING)
+        self._send(self._members.alive(self._clock()), MemberWords((own,), False))
+
+    def tell_other_regions(self) -> None:
+        """Tell other regions of this one, if this instance ranks first."""
+        now_s = self._clock()
+        own = self._members.own
+        ranked = self._members.ranked(now_s)
+        if ranked[0].name != own.name:
+            return
+        usages = self._usages()
+        source = f"{own.name}:{own.incarnation}"
+        for members in self._members.elsewhere(now_s).values():
+            chosen = [random.choice(members)]
+            self._send(chosen, MemberWords(tuple(ranked), False))
+            if usages:
+                self._send(chosen, RegionUsage(source, usages))
+
+    def tell_evidence(self) -> None:
+        """Tell the region what was seen of upstreams and admitted."""
+        now_s = self._clock()
+        reports = self._state.upstreams.reports(now_s)
+        usages = self._changed_usages()
+        if reports or usages:
+            message = Evidence(reports, usages)
+            self._send(self._members.in_region(now_s), message)
+
+    def ask(self) -> None:
+        """Ask another instance for the store's state, unless this one reads it."""
+        if self._is_reading:
+            return
+        now_s = self._clock()
+        candidates = sources(self._members.ranked(now_s), self._members.own)
+        if not candidates:
+            return
+        if any(now_s - at_s > UNANSWERED_S for at_s in self._asked_at_s.values()):
+            self._source += 1
+            self._asked_at_s.clear()
+        self._question += 1
+        self._asked_at_s[self._question] = now_s
+        chosen = candidates[self._source % len(candidates)]
+        question = StateQuestion(
+            self._question,
+            self._state.configuration_items.revision,
+            self._state.entry_items.revision,
+        )
+        self._send([chosen], question)
+
+    def receive(self, datagram: Datagram, address: str) -> None:
+        """Take in a message of another instance."""
+        self._receive(datagram.message, datagram, address)
+
+    @singledispatchmethod
+    def _receive(self, message, datagram, address):
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    @_receive.register
+    def _(self, message: MemberWords, datagram, address):
+        now_s = self._clock()
+        for member in self._members.hear(message.members, now_s):
+            log.info("Instance appeared.", instance=member.name)
+        if message.is_reply_wanted:
+            own = self._members.own
+            words = (own, *self._members.alive(now_s))
+            self._socket.send([address], MemberWords(words, False))
+
+    @_receive.register
+    def _(self, message: Evidence, datagram, address):
+        now_s = self._clock()
+        source = f"{datagram.sender}:{datagram.incarnation}"
+        self._state.upstreams.hear(message.upstreams, source, now_s)
+        self._totals.add(source, message.usages)
+        self._take_usages(source, message.usages)
+
+    @_receive.register
+    def _(self, message: RegionUsage, datagram, address):
+        self._take_usages(message.source, message.usages)
+        near = self._members.in_region(self._clock())
+        if all(member.name != datagram.sender for member in near):
+            self._send(near, message)
+
+    @_receive.register
+    def _(self, message: StateQuestion, datagram, address):
+        now_s = self._clock()
+        age_s = self._state.freshness.age_s(now_s)
+        answer = self._answer(message, min(age_s, NO_PROOF_S))
+        if not self._socket.send([address], answer):
+            log.warning("State too large for a datagram.", asked_by=datagram.sender)
+            answer = answer._replace(configuration=(), entries=(), is_complete=False)
+            answer = answer._replace(configuration_revision=0, entries_revision=0)
+            self._socket.send([address], answer._replace(proof_age_s=NO_PROOF_S))
+
+    @_receive.register
+    def _(self, message: StateAnswer, datagram, address):
+        asked_at_s = self._asked_at_s.pop(message.number, None)
+        if asked_at_s is None:
+            return
+        state = self._state
+        if message.proof_age_s < NO_PROOF_S:
+            state.take_configuration_items(
+                message.configuration,
+                message.configuration_revision,
+                asked_at_s - message.proof_age_s,
+            )
+        if message.entries_revision:
+            state.take_entry_items(
+                message.entries, message.entries_revision, message.is_complete
+            )
+
+    def _answer(self, question, age_s) -> StateAnswer:
+        configuration = self._state.configuration_items
+        entries = self._state.entry_items
+        changed = entries.since(question.entries_revision)
+        is_complete = question.entries_revision == 0 or changed is None
+        return StateAnswer(
+            question.number,
+            age_s,
+            configuration.revision,
+            _changed_items(configuration, question.configuration_revision),
+            entries.revision,
+            entries.items if is_complete else changed,
+            is_complete,
+        )
+
+    def _own_state(self) -> MemberState:
+        if self._state.is_leaving:
+            return MemberState.LEAVING
+        is_ready = self._state.is_ready()
+        return MemberState.SERVING if is_ready else MemberState.STARTING
+
+    def _other_seeds(self):
+        own = self._members.own.peers_address
+        return [seed for seed in self._seeds if seed != own]
+
+    def _send(self, members, message):
+        self._socket.send([member.peers_address for member in members], message)
+
+    def _take_usages(self, source, usages):
+        now_s = self._clock()
+        for usage in usages:
+            bucket = self._state.buckets.get(usage.account)
+            if bucket is not None:
+                bucket.report(source, usage.admitted, now_s)
+
+    def _changed_usages(self) -> tuple[AccountUsage, ...]:
+        changed = tuple(
+            AccountUsage(name, bucket.own)
+            for name, bucket in self._state.buckets.items()
+            if bucket.own != self._told_usage.get(name, 0)
+        )
+        self._told_usage.update(changed)
+        return changed
+
+    def _usages(self) -> tuple[AccountUsage, ...]:
+        """Return what the region has admitted, this instance included."""
+        own = {name: bucket.own for name, bucket in self._state.buckets.items()}
+        others = dict(self._totals.usages())
+        names = own.keys() | others.keys()
+        return tuple(
+            AccountUsage(name, own.get(name, 0) + others.get(name, 0))
+            for name in sorted(names)
+        )
+
+
+def _changed_items(replica, revision) -> tuple[StoreItem, ...]:
+    return tuple(item for item in replica.items if item.revision > revision)
--- /dev/null
+++ b/src/chervilpitch/gateway/messages.py
@@ -0,0 +1,105 @@
+"""Messages between the instances of a gateway."""
+
+from typing import NamedTuple
+
+from chervilpitch.model import StoreItem
+from chervilpitch.policy import AccountUsage, Member, UpstreamReport
+
+__all__ = [
+    "Evidence",
+    "MemberWords",
+    "RegionUsage",
+    "StateAnswer",
+    "StateQuestion",
+]
+
+
+class MemberWords(NamedTuple):
+    """What the sender knows of instances, its own word first.
+
+    Parameters
+    ----------
+    members : tuple of Member
+        Instances heard of lately.
+    is_reply_wanted : bool
+        Whether the receiver is to send what it knows.
+    """
+
+    members: tuple[Member, ...]
+    is_reply_wanted: bool
+
+
+class Evidence(NamedTuple):
+    """What the sender has seen of upstreams and admitted of client accounts.
+
+    Parameters
+    ----------
+    upstreams : tuple of UpstreamReport
+        Upstreams whose state has changed.
+    usages : tuple of AccountUsage
+        Client accounts whose count has changed.
+    """
+
+    upstreams: tuple[UpstreamReport, ...]
+    usages: tuple[AccountUsage, ...]
+
+
+class RegionUsage(NamedTuple):
+    """What the instances of a region have admitted together.
+
+    Parameters
+    ----------
+    source : str
+        Who has added up the counts; a new adder begins anew.
+    usages : tuple of AccountUsage
+        Client accounts and counts.
+    """
+
+    source: str
+    usages: tuple[AccountUsage, ...]
+
+
+class StateQuestion(NamedTuple):
+    """A question for the store's state that another instance reads.
+
+    Parameters
+    ----------
+    number : int
+        Number of the question; the answer bears it.
+    configuration_revision, entries_revision : int
+        What the sender has already; 0 for nothing.
+    """
+
+    number: int
+    configuration_revision: int
+    entries_revision: int
+
+
+class StateAnswer(NamedTuple):
+    """The store's state as far as the asker lacks it.
+
+    Parameters
+    ----------
+    number : int
+        Number of the question.
+    proof_age_s : float
+        Age in seconds of the proof that the configuration is the newest one.
+    configuration_revision : int
+        Revision up to which the configuration is known.
+    configuration : tuple of StoreItem
+        The configuration, if the asker lacks it.
+    entries_revision : int
+        Revision up to which upstreams are known.
+    entries : tuple of StoreItem
+        Upstreams that have changed, or all of them.
+    is_complete : bool
+        Whether ``entries`` is the complete list.
+    """
+
+    number: int
+    proof_age_s: float
+    configuration_revision: int
+    configuration: tuple[StoreItem, ...]
+    entries_revision: int
+    entries: tuple[StoreItem, ...]
+    is_complete: bool
--- a/src/chervilpitch/model/__init__.py
+++ b/src/chervilpitch/model/__init__.py
@@ -8,26 +8,46 @@
     Route,
     Upstream,
 )
+from .configuration import (
+    NO_CONFIGURATION,
+    AccountQuota,
+    CallerLimits,
+    Configuration,
+    HostRoute,
+    RequestKind,
+    UpstreamEntry,
+    WeightedService,
+)
 from .effects import Effect, Event, Record, Send
 from .instances import Instance, InstanceState, Sender, region_of
 from .refusals import Refusal, RefusalKind, RunState
+from .store_items import StoreItem
 
 __all__ = [
     "EMPTY_CATALOGUE",
+    "NO_CONFIGURATION",
+    "AccountQuota",
+    "CallerLimits",
     "Catalogue",
     "ClientAccount",
+    "Configuration",
     "Effect",
     "Event",
+    "HostRoute",
     "Instance",
     "InstanceState",
     "Key",
     "Record",
     "Refusal",
     "RefusalKind",
+    "RequestKind",
     "Route",
     "RunState",
     "Send",
     "Sender",
+    "StoreItem",
     "Upstream",
+    "UpstreamEntry",
+    "WeightedService",
     "region_of",
 ]
--- a/src/chervilpitch/observe/__init__.py
+++ b/src/chervilpitch/observe/__init__.py
@@ -1,6 +1,7 @@
 """Metrics, logs and the time line of events."""
 
 from .clock import Clock, ClockTooFarAhead, Stamp, merge, stamp, tick
+from .log_stream import BoundedLogStream
 from .logs import LogFormat, SecretRegister, configure_logs, part_logger
 from .metrics import AccountCount, Metrics, Outcome, TopAccounts
 from .picture import render_html, render_svg
@@ -17,6 +18,7 @@
 )
 
 __all__ = [
+    "BoundedLogStream",
     "AccountCount",
     "BadLine",
     "Chunk",
--- /dev/null
+++ b/src/chervilpitch/policy/__init__.py
@@ -0,0 +1,41 @@
+"""Decisions of the gateway: pure code without clock, network or randomness."""
+
+from .belief import Belief
+from .budget import RetryBudget
+from .directory import addresses_for
+from .freshness import Freshness, FreshnessLimits
+from .latency import LatencyBaseline
+from .listing import UpstreamListing
+from .members import Member, MemberState, MemberTable
+from .placement import Choice, Location, UpstreamTable
+from .quota import AccountUsage, FleetBucket, UsageTotals
+from .reading import is_reader, sources
+from .replica import ItemReplica
+from .routes import RouteTable, pick_service
+from .upstream_state import UpstreamReport, UpstreamState
+
+__all__ = [
+    "AccountUsage",
+    "Belief",
+    "Choice",
+    "FleetBucket",
+    "Freshness",
+    "FreshnessLimits",
+    "ItemReplica",
+    "LatencyBaseline",
+    "Location",
+    "Member",
+    "MemberState",
+    "MemberTable",
+    "RetryBudget",
+    "RouteTable",
+    "UpstreamListing",
+    "UpstreamReport",
+    "UpstreamState",
+    "UpstreamTable",
+    "UsageTotals",
+    "addresses_for",
+    "is_reader",
+    "pick_service",
+    "sources",
+]
--- /dev/null
+++ b/src/chervilpitch/policy/belief.py
@@ -0,0 +1,90 @@
+"""How likely an upstream is failing gray, as log-odds that fade with time."""
+
+import math
+
+__all__ = ["Belief", "lateness", "probability"]
+
+RESTING_ODDS = math.log(0.12 / 0.88)
+FAILING_ANSWERS = 0.2
+GOOD_ANSWERS = 0.985
+SUCCESS_STEP = math.log(FAILING_ANSWERS / GOOD_ANSWERS)
+FAILURE_STEP = 3.0
+LEAST_ODDS = -4.5
+MOST_ODDS = 5.0
+FADE_S = 3.0
+
+
+def lateness(survival: float) -> float:
+    """Return the evidence, in log-odds, of a request without an answer yet.
+
+    Parameters
+    ----------
+    survival : float
+        Share of good answers that take as long as this one already has.
+
+    Examples
+    --------
+    >>> lateness(1.0)
+    0.0
+    >>> lateness(0.01) > 4
+    True
+    """
+    silent = 1 - FAILING_ANSWERS
+    return math.log((silent + FAILING_ANSWERS * survival) / max(survival, 0.002))
+
+
+def probability(odds: float) -> float:
+    """Return the probability for log-odds."""
+    return 1 / (1 + math.exp(-odds))
+
+
+class Belief:
+    """Evidence on one upstream from requests that have ended.
+
+    Notes
+    -----
+    Gray failures begin and end by themselves, so that evidence loses its weight
+    with the time constant ``FADE_S``, towards the share of upstreams that are
+    failing at any time.
+    """
+
+    def __init__(self) -> None:
+        self._odds = RESTING_ODDS
+        self._at_s = 0.0
+        self._evidence_at_s = 0.0
+
+    @property
+    def evidence_at_s(self) -> float:
+        """Monotonic time in seconds of the newest evidence."""
+        return self._evidence_at_s
+
+    def odds(self, now_s: float) -> float:
+        """Return the log-odds that the upstream is failing."""
+        kept = math.exp(-max(0.0, now_s - self._at_s) / FADE_S)
+        return RESTING_ODDS + (self._odds - RESTING_ODDS) * kept
+
+    def succeeded(self, now_s: float, count: int = 1) -> None:
+        """Take in good answers."""
+        self._add(now_s, SUCCESS_STEP * count)
+
+    def failed(self, now_s: float, count: int = 1) -> None:
+        """Take in failures that the upstream is to blame for."""
+        self._add(now_s, FAILURE_STEP * count)
+
+    def was_late(self, now_s: float, evidence: float) -> None:
+        """Take in a request that was given up without an answer.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        evidence : float
+            What :func:`lateness` gave at its end.
+        """
+        self._add(now_s, evidence)
+
+    def _add(self, now_s, step):
+        odds = self.odds(now_s) + step
+        self._odds = min(MOST_ODDS, max(LEAST_ODDS, odds))
+        self._at_s = now_s
+        self._evidence_at_s = now_s
--- a/src/chervilpitch/settings/__init__.py
+++ b/src/chervilpitch/settings/__init__.py
@@ -1,6 +1,15 @@
 """Settings of one instance, read from INI."""
 
+from .gateway import GatewaySettings, load_gateway
 from .load import SettingsProblem, load, parse, read_secret
 from .schema import Settings
 
-__all__ = ["Settings", "SettingsProblem", "load", "parse", "read_secret"]
+__all__ = [
+    "GatewaySettings",
+    "Settings",
+    "SettingsProblem",
+    "load",
+    "load_gateway",
+    "parse",
+    "read_secret",
+]
--- /dev/null
+++ b/src/chervilpitch/settings/gateway.py
@@ -0,0 +1,130 @@
+"""Settings of an instance of the gateway."""
+
+import pathlib
+from typing import Annotated
+
+from pydantic import AfterValidator, Field, ValidationError
+from result import Err, Ok, Result
+
+from chervilpitch import platform
+
+from .load import SettingsProblem, read_sections, to_problem
+from .schema import Address, LogSettings, Section
+
+__all__ = ["GatewaySettings", "load_gateway"]
+
+
+def _split(value: str) -> tuple[str, ...]:
+    return tuple(part.strip() for part in value.split(",") if part.strip())
+
+
+class InstanceSection(Section):
+    """Who this instance is: ``[instance]``."""
+
+    name: str = Field(min_length=1)
+    region: str = Field(min_length=1)
+    failure_domain: str = Field(min_length=1)
+    host: str = Field(min_length=1)
+    memory_mb: float = Field(default=300, gt=0)
+
+
+class ListenSection(Section):
+    """Where it listens: ``[listen]``."""
+
+    callers: Address
+    ready: Address
+    directory: Address
+    peers_port: int = Field(gt=0, le=65_535)
+    metrics_port: int = Field(gt=0, le=65_535)
+
+
+class FleetSection(Section):
+    """Other instances: ``[fleet]``."""
+
+    seeds: Annotated[str, AfterValidator(_split)] = ""
+
+
+class StoreSection(Section):
+    """The platform's store: ``[store]``."""
+
+    address: Address
+
+
+class BoundsSection(Section):
+    """Time limits to keep: ``[bounds]``."""
+
+    values: Annotated[str, AfterValidator(_split)] = ""
+
+
+class FailureDomainsSection(Section):
+    """Every failure domain and its region: ``[failure-domains]``."""
+
+    regions: Annotated[str, AfterValidator(_split)] = ""
+
+
+class GatewaySettings(Section):
+    """All settings of an instance of the gateway."""
+
+    instance: InstanceSection
+    listen: ListenSection
+    fleet: FleetSection = FleetSection()
+    store: StoreSection
+    bounds: BoundsSection = BoundsSection()
+    failure_domains: FailureDomainsSection = FailureDomainsSection()
+    log: LogSettings = LogSettings()
+
+    @property
+    def limits(self) -> platform.Bounds:
+        """Time limits to keep; those that aren't given have their usual value."""
+        return platform.decode_bounds(self.bounds.values).unwrap()
+
+    @property
+    def region_of(self) -> dict[str, str]:
+        """Region of each failure domain."""
+        pairs = (text.partition("=") for text in self.failure_domains.regions)
+        return {domain: region for domain, _, region in pairs}
+
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """Peers' addresses of the seeds."""
+        hosts = (seed.rpartition(":")[0] for seed in self.fleet.seeds)
+        return tuple(f"{host}:{self.listen.peers_port}" for host in hosts)
+
+
+def load_gateway(
+    path: str,
+) -> Result[GatewaySettings, tuple[SettingsProblem, ...]]:
+    """Read and check the settings of an instance of the gateway.
+
+    Parameters
+    ----------
+    path : str
+        Path of the INI file.
+
+    Returns
+    -------
+    Result
+        The settings, or every problem found.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = SettingsProblem(path, "", "", str(error), "a readable UTF-8 file")
+        return Err((problem,))
+    return read_sections(text, path).and_then(lambda tree: _validate(tree, path))
+
+
+def _validate(tree, path):
+    try:
+        settings = GatewaySettings.model_validate(tree)
+    except ValidationError as error:
+        return Err(tuple(to_problem(item, tree, path) for item in error.errors()))
+    decoded = platform.decode_bounds(settings.bounds.values)
+    if decoded.is_err():
+        return Err(
+            tuple(
+                SettingsProblem(path, "bounds", "values", text, "name=number and unit")
+                for text in decoded.unwrap_err()
+            )
+        )
+    return Ok(settings)
--- a/src/chervilpitch/settings/load.py
+++ b/src/chervilpitch/settings/load.py
@@ -9,7 +9,14 @@
 
 from .schema import MIN_SECRET_BYTES, Settings
 
-__all__ = ["SettingsProblem", "load", "parse", "read_secret"]
+__all__ = [
+    "SettingsProblem",
+    "load",
+    "parse",
+    "read_secret",
+    "read_sections",
+    "to_problem",
+]
 
 MAX_SETTINGS_BYTES = 1_048_576
 
@@ -95,7 +102,7 @@
     except UnicodeDecodeError as error:
         seen = f"byte {error.start} is not UTF-8"
         return Err((SettingsProblem(file, "", "", seen, "UTF-8 text"),))
-    return _sections(text, file).and_then(lambda tree: _validate(tree, file))
+    return read_sections(text, file).and_then(lambda tree: _validate(tree, file))
 
 
 def read_secret(settings: Settings) -> Result[bytes, SettingsProblem]:
@@ -126,9 +133,10 @@
     return Ok(secret)
 
 
-def _sections(
+def read_sections(
     text: str, file: str
 ) -> Result[dict[str, dict[str, str]], tuple[SettingsProblem, ...]]:
+    """Return the options of each section, or every problem with the INI text."""
     parser = configparser.ConfigParser(interpolation=None, default_section="\0")
     try:
         parser.read_string(text, file)
@@ -151,10 +159,11 @@
     try:
         return Ok(Settings.model_validate(tree))
     except ValidationError as error:
-        return Err(tuple(_problem(item, tree, file) for item in error.errors()))
+        return Err(tuple(to_problem(item, tree, file) for item in error.errors()))
 
 
-def _problem(item: Any, tree: dict[str, dict[str, str]], file: str) -> SettingsProblem:
+def to_problem(item: Any, tree: dict[str, dict[str, str]], file: str) -> SettingsProblem:
+    """Return the problem for an error of the schema."""
     section, option = ([str(part) for part in item["loc"]] + ["", ""])[:2]
     seen = tree.get(section, {}).get(option, "")
     if item["type"] == "missing":
--- a/src/chervilpitch/transport/codec.py
+++ b/src/chervilpitch/transport/codec.py
@@ -1,8 +1,6 @@
 """Cap'n Proto coding of the messages between instances."""
 
-import functools
 import pathlib
-import typing
 from typing import Any, NamedTuple
 
 import capnp
@@ -15,6 +13,8 @@
 from chervilpitch.model import Sender
 from chervilpitch.requests.messages import FinalOutcomes
 
+from .structs import to_plain, to_typed
+
 __all__ = ["MESSAGE_TYPES", "Envelope", "decode", "encode"]
 
 VERSION = 1
@@ -84,7 +84,7 @@
         receiver=envelope.receiver,
         wallNs=envelope.wall_ns,
         logical=envelope.logical,
-        body={name: _plain(envelope.message)},
+        body={name: to_plain(envelope.message)},
     ).to_bytes_packed()
 
 
@@ -107,7 +107,7 @@
             payload, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         ).to_dict()
         name, content = next(iter(fields["body"].items()))
-        message = _typed(MESSAGE_TYPES[name], content)
+        message = to_typed(MESSAGE_TYPES[name], content)
         sender = Sender(fields["sender"], fields["incarnation"])
         return Ok(
             Envelope(
@@ -120,43 +120,3 @@
         )
     except (capnp.KjException, KeyError, TypeError, ValueError, StopIteration) as error:
         return Err(FrameError(type(error).__name__))
-
-
-class _Field(NamedTuple):
-    name: str
-    coded_name: str
-    kind: Any
-
-
-@functools.cache
-def _fields_of(kind: type) -> tuple[_Field, ...]:
-    hints = typing.get_type_hints(kind)
-    return tuple(_Field(name, _camel(name), hints[name]) for name in kind._fields)
-
-
-def _plain(value: Any) -> Any:
-    if hasattr(value, "_fields"):
-        return {
-            field.coded_name: _plain(getattr(value, field.name))
-            for field in _fields_of(type(value))
-        }
-    if isinstance(value, tuple):
-        return [_plain(item) for item in value]
-    return value
-
-
-def _typed(kind: Any, value: Any) -> Any:
-    if hasattr(kind, "_fields"):
-        values = (
-            _typed(field.kind, value[field.coded_name]) for field in _fields_of(kind)
-        )
-        return kind(*values)
-    if typing.get_origin(kind) is tuple:
-        item_kind, _ = typing.get_args(kind)
-        return tuple(_typed(item_kind, item) for item in value)
-    return value
-
-
-def _camel(name: str) -> str:
-    first, *others = name.split("_")
-    return first + "".join(word.title() for word in others)
