--- a/src/chervilpitch/gateway/fleet.py
+++ b/src/chervilpitch/gateway/fleet.py
@@ -6,6 +6,7 @@
 from chervilpitch.model import StoreItem
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
+    ELSEWHERE_ALIVE_S,
     AccountUsage,
     MemberState,
     UsageTotals,
@@ -31,6 +32,9 @@
 NO_PROOF_S = 1e6
 UNANSWERED_S = 0.6
 MOST_BEATS = 16
+GATHER_S = 0.28
+REGIONS_S = 0.5
+BEATS_PER_LIST = 4
 
 
 class Fleet:
@@ -53,10 +57,13 @@
         self._clock = clock
         self._totals = UsageTotals()
         self._told_usage: dict[str, int] = {}
+        self._started_at_s = clock()
+        self._tell_at_s = 0.0
+        self._tell_regions_at_s = 0.0
         self._question = 0
         self._asked_at_s: dict[int, float] = {}
         self._source = 0
-        self._is_reading = True
+        self._is_reading = False
         self._socket = PeerSocket(self._members.own, self.receive)
 
     @property
@@ -78,7 +85,10 @@
         now_s = self._clock()
         age_s = self._state.freshness.age_s(now_s)
         ranked = self._members.ranked(now_s)
-        reads = is_reader(ranked, self._members.own, age_s, self._is_reading)
+        uptime_s = now_s - self._started_at_s
+        reads = is_reader(
+            ranked, self._members.own, age_s, self._is_reading, uptime_s
+        )
         if reads != self._is_reading:
             log.info("Reading changes.", reads=reads, proof_age_s=round(age_s, 2))
         self._is_reading = reads
@@ -93,9 +103,9 @@
         near = self._members.in_region(now_s)
         heard = near if len(near) <= MOST_BEATS else random.sample(near, MOST_BEATS)
         self._send(heard, MemberWords((own,), False))
-        alive = self._members.alive(now_s)
-        if near:
-            self._send([random.choice(near)], MemberWords((own, *alive), False))
+        if near and own.beat % BEATS_PER_LIST == 0:
+            words = (own, *self._members.alive(now_s, ELSEWHERE_ALIVE_S))
+            self._send([random.choice(near)], MemberWords(words, False))
         if not near or random.random() < 1 / (4 * len(near)):
             self._socket.send(self._other_seeds(), MemberWords((own,), True))
 
@@ -104,9 +114,24 @@
         own = self._members.beat(MemberState.LEAVING)
         self._send(self._members.alive(self._clock()), MemberWords((own,), False))
 
+    def list_to_other_regions(self) -> None:
+        """Tell other regions who is here, if this instance ranks first."""
+        now_s = self._clock()
+        ranked = self._members.ranked(now_s)
+        if ranked[0].name != self._members.own.name:
+            return
+        for members in self._members.elsewhere(now_s).values():
+            chosen = {members[0], random.choice(members)}
+            self._send(chosen, MemberWords(tuple(ranked), False))
+
     def tell_other_regions(self) -> None:
-        """Tell other regions of this one, if this instance ranks first."""
+        """Tell other regions what this one admits, if this instance ranks first."""
         now_s = self._clock()
+        buckets = self._state.buckets.values()
+        is_urgent = any(bucket.is_low(now_s) for bucket in buckets)
+        if now_s < self._tell_regions_at_s and not is_urgent:
+            return
+        self._tell_regions_at_s = now_s + REGIONS_S
         own = self._members.own
         ranked = self._members.ranked(now_s)
         if ranked[0].name != own.name:
@@ -114,14 +139,20 @@
         usages = self._usages()
         source = f"{own.name}:{own.incarnation}"
         for members in self._members.elsewhere(now_s).values():
-            chosen = [random.choice(members)]
-            self._send(chosen, MemberWords(tuple(ranked), False))
             if usages:
-                self._send(chosen, RegionUsage(source, usages))
+                self._send(members[:1], RegionUsage(source, usages))
 
     def tell_evidence(self) -> None:
-        """Tell the region what was seen of upstreams and admitted."""
+        """Tell the region what was seen of upstreams and admitted.
+
+        What others must know at once goes out at once, the rest is gathered.
+        """
         now_s = self._clock()
+        is_due = now_s >= self._tell_at_s
+        is_urgent = self._state.upstreams.is_report_urgent(now_s)
+        if not is_due and not is_urgent and not self._has_low_bucket(now_s):
+            return
+        self._tell_at_s = now_s + GATHER_S
         reports = self._state.upstreams.reports(now_s)
         usages = self._changed_usages()
         if reports or usages:
@@ -254,6 +285,13 @@
         self._told_usage.update(changed)
         return changed
 
+    def _has_low_bucket(self, now_s) -> bool:
+        """Return whether admissions that weren't told could exceed a rate."""
+        return any(
+            bucket.is_low(now_s) and bucket.own != self._told_usage.get(name, 0)
+            for name, bucket in self._state.buckets.items()
+        )
+
     def _usages(self) -> tuple[AccountUsage, ...]:
         """Return what the region has admitted, this instance included."""
         own = {name: bucket.own for name, bucket in self._state.buckets.items()}
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -38,12 +38,13 @@
 BODY_SHARE_OF_MEMORY = 0.25
 BYTES_PER_MB = 1_000_000
 BACKLOG = 1_024
-BEAT_S = 0.5
-OTHER_REGIONS_S = 0.5
-EVIDENCE_S = 0.1
+BEAT_S = 0.8
+LIST_REGIONS_S = 2.0
+TELL_S = 0.1
 ASK_S = 0.35
-UPKEEP_S = 0.25
-LOG_S = 0.2
+READING_S = 0.2
+UPKEEP_S = 0.5
+LOG_S = 0.4
 STOP_ACCEPTING_BEFORE_END_S = 2.6
 END_MARGIN_S = 0.25
 SETTLE_S = 0.1
@@ -128,9 +129,9 @@
     def _start_tasks(self):
         steps = (
             (self._fleet.beat, BEAT_S),
-            (self._fleet.tell_other_regions, OTHER_REGIONS_S),
-            (self._fleet.tell_evidence, EVIDENCE_S),
-            (self._fleet.decide_reading, UPKEEP_S),
+            (self._fleet.list_to_other_regions, LIST_REGIONS_S),
+            (self._tell, TELL_S),
+            (self._fleet.decide_reading, READING_S),
             (self._fleet.ask, ASK_S),
             (self._upkeep, UPKEEP_S),
             (self._logs.drain, LOG_S),
@@ -140,6 +141,10 @@
         loops.append(self._reader.follow_entries())
         self._tasks = [asyncio.create_task(item) for item in loops]
 
+    def _tell(self):
+        self._fleet.tell_other_regions()
+        self._fleet.tell_evidence()
+
     def _upkeep(self):
         self._callers.sweep()
         self._own_pages.sweep()
--- a/src/chervilpitch/gateway/request_path.py
+++ b/src/chervilpitch/gateway/request_path.py
@@ -36,6 +36,13 @@
 class _Refused(NamedTuple):
     kind: RefusalKind
     retry_after_s: float | None = None
+    route: str = ""
+    account: str = ""
+
+
+class _Subject(NamedTuple):
+    route: str
+    account: str
 
 
 class _Admitted(NamedTuple):
@@ -84,7 +91,8 @@
         if admitted.is_err():
             refused = admitted.unwrap_err()
             ending = Ending(None, refused.kind, False, (), refused.retry_after_s)
-            return self._reply(request, facts, None, ending)
+            subject = _Subject(refused.route, refused.account)
+            return self._reply(request, facts, subject, ending)
         route, account = admitted.unwrap()
         wait_s = DEFAULT_WAIT_S if facts.wait_s is None else facts.wait_s
         outgoing = Outgoing(
@@ -96,7 +104,7 @@
             request.arrived_at_s + min(wait_s, route.timeout_s),
         )
         ending = await self._forwarder.forward(outgoing)
-        return self._reply(request, facts, outgoing, ending)
+        return self._reply(request, facts, _Subject(route.name, account), ending)
 
     def _admit(self, request, facts) -> Result[_Admitted, _Refused]:
         if not self._state.configuration.version:
@@ -138,19 +146,21 @@
         if bucket is None or bucket.admit(now_s):
             return Ok(_Admitted(route, account))
         retry_after_s = bucket.retry_after_s(now_s)
-        return Err(_Refused(RefusalKind.RATE_EXCEEDED, retry_after_s))
+        log.info("Rate exceeded.", account=account, **bucket.figures(now_s))
+        return Err(
+            _Refused(RefusalKind.RATE_EXCEEDED, retry_after_s, route.name, account)
+        )
 
-    def _reply(self, request, facts, outgoing, ending) -> Reply:
+    def _reply(self, request, facts, subject, ending) -> Reply:
         reply = _reply_of(facts.request_id, ending)
         now_s = self._clock()
         took_s = now_s - request.arrived_at_s
-        route = "" if outgoing is None else outgoing.route.name
-        self._metrics.ended(route, reply.status, ending.refusal, took_s)
+        self._metrics.ended(subject.route, reply.status, ending.refusal, took_s)
         log.info(
             "Served." if ending.refusal is None else "Refused.",
             id=facts.request_id,
-            route=route,
-            account="" if outgoing is None else outgoing.account,
+            route=subject.route,
+            account=subject.account,
             status=int(reply.status),
             refusal=ending.refusal or "",
             may_have_run=ending.may_have_run,
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -1,5 +1,7 @@
 """Everything that one instance of the gateway knows."""
 
+from collections.abc import Mapping
+
 from chervilpitch import platform
 from chervilpitch.model import (
     NO_CONFIGURATION,
@@ -28,6 +30,8 @@
 log = part_logger("state")
 
 ENTRIES_RETURN_S = 2.2
+SHARE_OF_EXCESS = 0.7
+SHARE_OF_SLACK = 0.6
 
 
 class GatewayState:
@@ -66,6 +70,7 @@
         self._baselines: dict[str, LatencyBaseline] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._buckets: dict[str, FleetBucket] = {}
+        self._accounts: Mapping[str, AccountQuota] = {}
         self._is_review_due = False
         self._is_leaving = False
         self._in_progress = 0
@@ -205,6 +210,7 @@
             routes=len(configuration.routes),
             revision=item.revision,
         )
+        self._accounts = self._configuration.accounts
         self._configuration = configuration
         self._routes = RouteTable(configuration.routes)
         for account in configuration.accounts.values():
@@ -245,11 +251,22 @@
     def _follow_account(self, account: AccountQuota):
         now_s = self._clock()
         bucket = self._buckets.get(account.name)
+        if account != self._accounts.get(account.name):
+            log.info(
+                "Quota in force.",
+                account=account.name,
+                rate_per_s=account.rate_per_s,
+                burst=account.burst,
+                priority=account.priority,
+            )
+        bounds = self._bounds
+        rate_per_s = account.rate_per_s * (1 + bounds.rate_excess * SHARE_OF_EXCESS)
         if not account.rate_per_s:
             self._buckets.pop(account.name, None)
         elif bucket is None:
+            tolerance = bounds.rate_slack * SHARE_OF_SLACK
             self._buckets[account.name] = FleetBucket(
-                account.rate_per_s, account.burst, now_s
+                rate_per_s, account.burst, tolerance, now_s
             )
         else:
-            bucket.change(account.rate_per_s, account.burst, now_s)
+            bucket.change(rate_per_s, account.burst, now_s)
--- a/src/chervilpitch/platform/bounds.py
+++ b/src/chervilpitch/platform/bounds.py
@@ -25,6 +25,9 @@
     retry_ratio, retry_window_s, retry_slack : float
         Repeats allowed per request of a service, the window in seconds over
         which they are counted, and a number that is allowed besides.
+    rate_excess, rate_slack : float
+        Share of its rate, and number of requests, by which a client account may
+        exceed what it may send in a window.
     address_lifetime_s : float
         Longest time that callers keep a list of addresses.
     """
@@ -36,6 +39,8 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
+    rate_excess: float = 0.25
+    rate_slack: float = 20.0
     address_lifetime_s: float = 5.0
 
 
@@ -47,6 +52,8 @@
     "budget_ratio": ("retry_ratio", float),
     "budget_window": ("retry_window_s", seconds),
     "budget_slack": ("retry_slack", float),
+    "quota_excess": ("rate_excess", float),
+    "quota_slack": ("rate_slack", float),
     "ttl_max": ("address_lifetime_s", seconds),
 }
 
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -6,7 +6,7 @@
 from .freshness import Freshness, FreshnessLimits
 from .latency import LatencyBaseline
 from .listing import UpstreamListing
-from .members import Member, MemberState, MemberTable
+from .members import ELSEWHERE_ALIVE_S, Member, MemberState, MemberTable
 from .placement import Choice, Location, UpstreamTable
 from .quota import AccountUsage, FleetBucket, UsageTotals
 from .reading import is_reader, sources
@@ -15,6 +15,7 @@
 from .upstream_state import UpstreamReport, UpstreamState
 
 __all__ = [
+    "ELSEWHERE_ALIVE_S",
     "AccountUsage",
     "Belief",
     "Choice",
--- a/src/chervilpitch/policy/belief.py
+++ b/src/chervilpitch/policy/belief.py
@@ -51,12 +51,6 @@
     def __init__(self) -> None:
         self._odds = RESTING_ODDS
         self._at_s = 0.0
-        self._evidence_at_s = 0.0
-
-    @property
-    def evidence_at_s(self) -> float:
-        """Monotonic time in seconds of the newest evidence."""
-        return self._evidence_at_s
 
     def odds(self, now_s: float) -> float:
         """Return the log-odds that the upstream is failing."""
@@ -87,4 +81,3 @@
         odds = self.odds(now_s) + step
         self._odds = min(MOST_ODDS, max(LEAST_ODDS, odds))
         self._at_s = now_s
-        self._evidence_at_s = now_s
--- a/src/chervilpitch/policy/freshness.py
+++ b/src/chervilpitch/policy/freshness.py
@@ -5,6 +5,7 @@
 __all__ = ["Freshness", "FreshnessLimits"]
 
 TRANSIT_S = 0.3
+DENIAL_MARGIN_S = 0.8
 GAP_S = 2.0
 
 
@@ -25,7 +26,7 @@
     @classmethod
     def of(cls, revocation_s: float, configuration_s: float) -> "FreshnessLimits":
         """Return the limits for bounds in seconds."""
-        return cls(revocation_s - TRANSIT_S, configuration_s + TRANSIT_S)
+        return cls(revocation_s - TRANSIT_S, configuration_s + DENIAL_MARGIN_S)
 
 
 class Freshness:
--- a/src/chervilpitch/policy/members.py
+++ b/src/chervilpitch/policy/members.py
@@ -5,9 +5,10 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-__all__ = ["Member", "MemberState", "MemberTable"]
+__all__ = ["ELSEWHERE_ALIVE_S", "Member", "MemberState", "MemberTable"]
 
-ALIVE_S = 2.5
+ALIVE_S = 3.0
+ELSEWHERE_ALIVE_S = 12.0
 FORGOTTEN_S = 15.0
 
 
@@ -117,12 +118,20 @@
             del self._heard_at_s[member.name]
         return tuple(gone)
 
-    def alive(self, now_s: float) -> list[Member]:
-        """Return the other instances that were heard of lately."""
+    def alive(self, now_s: float, within_s: float = ALIVE_S) -> list[Member]:
+        """Return the other instances that were heard of lately.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        within_s : float
+            Seconds that count as lately.
+        """
         return [
             member
             for name, member in self._members.items()
-            if now_s - self._heard_at_s[name] <= ALIVE_S
+            if now_s - self._heard_at_s[name] <= within_s
         ]
 
     def in_region(self, now_s: float) -> list[Member]:
@@ -131,12 +140,15 @@
         return [member for member in self.alive(now_s) if member.region == region]
 
     def elsewhere(self, now_s: float) -> dict[str, list[Member]]:
-        """Return instances of other regions by region, heard of lately."""
+        """Return instances of other regions by region, each in order of rank.
+
+        Word of them comes seldom, so that they stay known for longer.
+        """
         regions: dict[str, list[Member]] = {}
-        for member in self.alive(now_s):
+        for member in self.alive(now_s, ELSEWHERE_ALIVE_S):
             if member.region != self._own.region:
                 regions.setdefault(member.region, []).append(member)
-        return regions
+        return {name: sorted(found, key=_rank) for name, found in regions.items()}
 
     def ranked(self, now_s: float) -> list[Member]:
         """Return the instances of the region, this one included, by rank.
--- a/src/chervilpitch/policy/placement.py
+++ b/src/chervilpitch/policy/placement.py
@@ -20,14 +20,13 @@
     RequestKind.UNSAFE: 2.5,
     RequestKind.UPLOAD: 2.5,
 }
-SAME_REGION_COST_S = 0.01
+SAME_REGION_COST_S = 0.02
 ELSEWHERE_COST_S = 0.10
 UPLOAD_DISTANCE_FACTOR = 3.0
 LOAD_COST_S = 0.004
 JITTER_S = 0.02
-SCOUT_SUSPICION = 0.5
 SCOUT_AFTER_S = 0.8
-SCOUT_SHARE = 0.3
+SCOUT_SHARE = 0.6
 
 
 class Location(NamedTuple):
@@ -56,7 +55,7 @@
     expected_s : float
         Seconds until its answer is expected.
     is_scout : bool
-        Whether the request is to find out if the upstream works again.
+        Whether the request is to find out if the upstream works.
     """
 
     upstream: UpstreamState
@@ -168,18 +167,23 @@
             if state is not None:
                 state.hear(report, source, now_s)
 
+    def is_report_urgent(self, now_s: float) -> bool:
+        """Return whether others should know at once what happened."""
+        return any(state.is_report_urgent(now_s) for state in self._states.values())
+
     def reports(self, now_s: float) -> tuple[UpstreamReport, ...]:
         """Return what is to be told to others."""
         made = (state.report(now_s) for state in self._states.values())
         return tuple(report for report in made if report is not None)
 
     def _to_scout(self, usable, now_s) -> UpstreamState | None:
-        for state in usable:
-            is_due = now_s - state.evidence_at_s > SCOUT_AFTER_S
-            if is_due and not state.load(now_s) and self._is_near(state):
-                if state.suspicion(now_s) > SCOUT_SUSPICION:
-                    return state
-        return None
+        """Return the upstream in the region that was tried least lately."""
+        due = [
+            (state.tried_at_s, at)
+            for at, state in enumerate(usable)
+            if now_s - state.tried_at_s > SCOUT_AFTER_S and self._is_near(state)
+        ]
+        return usable[min(due)[1]] if due else None
 
     def _cost_s(self, state, kind, baseline, now_s):
         failure_s = FAILURE_COST_S[kind] * state.suspicion(now_s)
--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -7,7 +7,7 @@
 
 RATE_FADE_S = 1.0
 REPORT_LAG_S = 0.6
-SURE_SHARE = 0.97
+LOW_SHARE = 0.6
 MAX_RETRY_AFTER_S = 2.0
 
 
@@ -45,13 +45,19 @@
     ----------
     rate_per_s, burst : float
         The client account's rate and burst.
+    tolerance : float
+        Requests by which the level may fall short, since reports are late and
+        what happened meanwhile is guessed.
     now_s : float
         Monotonic time in seconds.
     """
 
-    def __init__(self, rate_per_s: float, burst: float, now_s: float):
-        self._rate_per_s = rate_per_s * SURE_SHARE
+    def __init__(
+        self, rate_per_s: float, burst: float, tolerance: float, now_s: float
+    ):
+        self._rate_per_s = rate_per_s
         self._burst = burst
+        self._least = 1 - tolerance
         self._level = 0.0
         self._at_s = now_s
         self._own = 0
@@ -65,7 +71,7 @@
     def change(self, rate_per_s: float, burst: float, now_s: float) -> None:
         """Follow a changed rate and burst."""
         self._refill(now_s)
-        self._rate_per_s = rate_per_s * SURE_SHARE
+        self._rate_per_s = rate_per_s
         self._burst = burst
         self._level = min(self._level, burst)
 
@@ -78,18 +84,31 @@
             Monotonic time in seconds.
         """
         self._refill(now_s)
-        if self._level - self._unreported(now_s) < 1:
+        if self._level - self._unreported(now_s) < self._least:
             return False
         self._level -= 1
         self._own += 1
         return True
 
+    def is_low(self, now_s: float) -> bool:
+        """Return whether others should know of each admission at once."""
+        self._refill(now_s)
+        return self._level < LOW_SHARE * self._burst
+
     def retry_after_s(self, now_s: float) -> float:
         """Return the seconds after which a token should be there."""
-        missing = 1 - self._level + self._unreported(now_s)
+        missing = self._least - self._level + self._unreported(now_s)
         wait_s = missing / max(self._rate_per_s, 0.001)
         return min(MAX_RETRY_AFTER_S, max(0.05, wait_s))
 
+    def figures(self, now_s: float) -> dict[str, float]:
+        """Return what the decisions go by, for logs."""
+        return {
+            "level": round(self._level, 1),
+            "unreported": round(self._unreported(now_s), 1),
+            "sources": len(self._sources),
+        }
+
     def report(self, source: str, admitted: int, now_s: float) -> None:
         """Take in what other instances have admitted.
 
--- a/src/chervilpitch/policy/upstream_state.py
+++ b/src/chervilpitch/policy/upstream_state.py
@@ -11,6 +11,7 @@
 __all__ = ["RemoteLoad", "UpstreamReport", "UpstreamState", "Waiting"]
 
 MOST_LATENESS = 6.0
+URGENT_LATENESS = 1.5
 REMOTE_FRESH_S = 1.2
 TOLD_FRESH_S = 0.25
 SLOWNESS_GAIN = 0.25
@@ -110,6 +111,7 @@
         self._failed = 0
         self._late = 0.0
         self._is_reported = True
+        self._tried_at_s = now_s - math.inf
 
     @property
     def entry(self) -> UpstreamEntry:
@@ -117,9 +119,9 @@
         return self._entry
 
     @property
-    def evidence_at_s(self) -> float:
-        """Monotonic time in seconds of the newest evidence."""
-        return self._belief.evidence_at_s
+    def tried_at_s(self) -> float:
+        """Monotonic time in seconds at which a request was last there, or ended."""
+        return self._tried_at_s
 
     def follow(self, entry: UpstreamEntry) -> None:
         """Take in a newer entry of the same incarnation."""
@@ -138,6 +140,7 @@
     def begin(self, number: int, baseline: LatencyBaseline, now_s: float) -> None:
         """Note a request that is sent now."""
         self._waiting[number] = Waiting(baseline, now_s)
+        self._tried_at_s = now_s
         self._is_reported = False
 
     def succeeded(self, number: int, now_s: float) -> None:
@@ -182,6 +185,7 @@
     def hear(self, report: UpstreamReport, source: str, now_s: float) -> None:
         """Take in what another instance tells."""
         self._remote[source] = RemoteLoad(report.in_flight, report.lateness, now_s)
+        self._tried_at_s = now_s
         if report.succeeded:
             self._belief.succeeded(now_s, report.succeeded)
         if report.failed:
@@ -210,6 +214,12 @@
         cold = COLD_FACTOR if now_s < self._cold_until_s else 1.0
         return max(self._current_slowness(now_s), cold)
 
+    def is_report_urgent(self, now_s: float) -> bool:
+        """Return whether others should know at once what happened here."""
+        if self._failed or self._late > URGENT_LATENESS:
+            return True
+        return self._own_lateness(now_s) > URGENT_LATENESS
+
     def report(self, now_s: float) -> UpstreamReport | None:
         """Return what is to be told to others, and begin the next report."""
         if self._is_reported and not self._waiting:
