Judge upstreams by a two-state model; test the gateway with stand-ins

The belief in an upstream faded as log-odds, so that after a good answer it was trusted for too long and after a hang too short. It now follows a model with two states, and every upstream of the region is tried at least every 1.3 s.

--- a/src/chervilpitch/gateway/__main__.py
+++ b/src/chervilpitch/gateway/__main__.py
@@ -3,17 +3,16 @@
 import os
 import sys
 
+from chervilpitch import platform
 from chervilpitch.cli.exits import ExitCode
 from chervilpitch.settings import load_gateway
 
 from .process import run_gateway
 
-SETTINGS_VARIABLE = "CHERVILPITCH_CONFIG"
-
 
 def main() -> int:
     """Run the instance and return the exit code."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
+    path = os.environ.get(platform.SETTINGS_VARIABLE, "")
     loaded = load_gateway(path)
     if loaded.is_err():
         for problem in loaded.unwrap_err():
--- a/src/chervilpitch/gateway/fleet.py
+++ b/src/chervilpitch/gateway/fleet.py
@@ -86,9 +86,7 @@
         age_s = self._state.freshness.age_s(now_s)
         ranked = self._members.ranked(now_s)
         uptime_s = now_s - self._started_at_s
-        reads = is_reader(
-            ranked, self._members.own, age_s, self._is_reading, uptime_s
-        )
+        reads = is_reader(ranked, self._members.own, age_s, self._is_reading, uptime_s)
         if reads != self._is_reading:
             log.info("Reading changes.", reads=reads, proof_age_s=round(age_s, 2))
         self._is_reading = reads
--- a/src/chervilpitch/gateway/forward.py
+++ b/src/chervilpitch/gateway/forward.py
@@ -7,6 +7,7 @@
 
 from chervilpitch import platform
 from chervilpitch.model import HostRoute, RefusalKind
+from chervilpitch.observe import part_logger
 from chervilpitch.policy import Choice
 
 from .http_client import Answer, ExchangeError, FailureKind, HttpRequest
@@ -16,6 +17,8 @@
 
 __all__ = ["Ending", "Forwarder", "Outgoing"]
 
+log = part_logger("forward")
+
 CHECK_S = 0.04
 DOUBTFUL_SURVIVAL = 0.35
 DOUBTFUL_SUSPICION = 0.6
@@ -88,6 +91,7 @@
 class _Result(NamedTuple):
     outcome: Outcome
     answer: Answer | None = None
+    cause: str = ""
 
 
 class _Progress:
@@ -144,19 +148,29 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for task in done:
-                ending = self._take(progress, progress.running.pop(task), task.result())
+                choice = progress.running.pop(task)
+                ending = self._take(outgoing, progress, choice, task.result())
                 if ending is not None:
                     return ending
             if not progress.running:
                 refusal = self._place(outgoing, progress)
             elif self._is_doubtful(outgoing, progress):
-                self._place(outgoing, progress)
+                self._double(outgoing, progress)
         return self._without_answer(progress, refusal)
 
-    def _take(self, progress, choice, result) -> Ending | None:
+    def _take(self, outgoing, progress, choice, result) -> Ending | None:
         """Take in the result of an attempt; return the ending if it is one."""
         if result.outcome is Outcome.SERVED:
             return Ending(result.answer, None, True, tuple(progress.places))
+        now_s = self._clock()
+        log.info(
+            "Attempt failed.",
+            request=outgoing.request_id,
+            upstream=choice.upstream.entry.name,
+            outcome=result.cause,
+            suspicion=round(choice.upstream.suspicion(now_s), 3),
+            age_ms=_milliseconds(now_s - outgoing.request.arrived_at_s),
+        )
         if result.outcome is Outcome.UNREACHABLE:
             progress.sends -= 1
         elif result.outcome is not Outcome.NOT_RUN:
@@ -231,6 +245,21 @@
         is_suspect = choice.upstream.suspicion(now_s) > DOUBTFUL_SUSPICION
         return is_suspect and self._may_repeat(outgoing, now_s)
 
+    def _double(self, outgoing, progress):
+        """Send a request to a second upstream while the first is silent."""
+        silent = next(iter(progress.running.values())).upstream
+        if self._place(outgoing, progress) is not None:
+            return
+        now_s = self._clock()
+        log.info(
+            "Sent once more.",
+            request=outgoing.request_id,
+            silent=silent.entry.name,
+            second=progress.places[-1],
+            suspicion=round(silent.suspicion(now_s), 3),
+            age_ms=_milliseconds(now_s - outgoing.request.arrived_at_s),
+        )
+
     def _overdue(self, progress) -> Ending:
         places = tuple(progress.places)
         has_run = bool(progress.running) or progress.may_have_run
@@ -256,7 +285,7 @@
             lease = await self._pool.take(name, upstream.entry.address)
         except ExchangeError:
             upstream.unreachable(number, self._clock())
-            return _Result(Outcome.UNREACHABLE)
+            return _Result(Outcome.UNREACHABLE, cause=FailureKind.NOT_CONNECTED)
         except asyncio.CancelledError:
             upstream.not_run(number)
             raise
@@ -270,7 +299,7 @@
                 upstream.not_run(number)
             else:
                 upstream.failed(number, self._clock())
-            return _Result(Outcome.FAILED)
+            return _Result(Outcome.FAILED, cause=error.kind)
         except asyncio.CancelledError:
             upstream.given_up(number, self._clock())
             if lease.is_reused:
@@ -296,14 +325,15 @@
             upstream.not_run(number)
             if facts.is_misdirected:
                 upstream.misdirected()
-            return _Result(Outcome.NOT_RUN)
+            return _Result(Outcome.NOT_RUN, cause=f"not-run {answer.status}")
         is_success = 200 <= answer.status < 300
         if facts.is_encoded or (is_success and not facts.is_sealed):
             upstream.failed(number, now_s)
-            return _Result(Outcome.FAILED)
+            return _Result(Outcome.FAILED, cause="not the upstream's body")
         if answer.status >= 500:
             upstream.failed(number, now_s)
-            return _Result(Outcome.FAILED_ANSWER, answer)
+            cause = f"answered {answer.status}"
+            return _Result(Outcome.FAILED_ANSWER, answer, cause)
         upstream.succeeded(number, now_s)
         return _Result(Outcome.SERVED, answer)
 
@@ -316,3 +346,7 @@
         return bool(answered) and answered != request_id
 
     return is_foreign
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -241,6 +241,9 @@
         self._head = head
         self._head_at_s = self._shared.clock()
         self._idle_until_s = self._head_at_s + self._limits.idle_timeout_s
+        if _header_size(head) > self._limits.max_header_bytes:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            return
         length = dict(head.headers).get(b"content-length", b"0")
         if int(length) > self._limits.max_body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -329,6 +332,11 @@
         self._parts = []
 
 
+def _header_size(head: h11.Request) -> int:
+    fields = sum(len(name) + len(value) for name, value in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
 def _reason(status: int) -> bytes:
     try:
         return HTTPStatus(status).phrase.encode()
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -16,8 +16,13 @@
     configure_logs,
     part_logger,
 )
-from chervilpitch.policy import Location, Member, MemberState, MemberTable
-from chervilpitch.policy import addresses_for
+from chervilpitch.policy import (
+    Location,
+    Member,
+    MemberState,
+    MemberTable,
+    addresses_for,
+)
 from chervilpitch.settings import GatewaySettings, load_gateway
 from chervilpitch.transport.clock import monotonic_s, wall_ns
 
@@ -155,7 +160,9 @@
         path, _, query = request.target.decode("latin-1").partition("?")
         if path == platform.READY_PATH:
             is_ready = self._state.is_ready()
-            return Reply(HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE, [])
+            return Reply(
+                HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE, []
+            )
         if path == platform.RESOLVE_PATH:
             return self._resolve(query)
         if urllib.parse.unquote(path) == "/metrics":
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -145,9 +145,7 @@
             prefix = platform.CONFIGURATION_KEY
             target = platform.watch_target(prefix, revision, CONFIGURATION_WAIT_MS)
             wait_s = CONFIGURATION_WAIT_MS / MS_PER_S
-            changes = await self._call(
-                connection, target, platform.parse_watch, wait_s
-            )
+            changes = await self._call(connection, target, platform.parse_watch, wait_s)
             proved_at_s = began_at_s - DEAF_WATCH_S
         state.take_configuration_items(changes.items, changes.revision, proved_at_s)
         return changes.revision
--- a/src/chervilpitch/platform/__init__.py
+++ b/src/chervilpitch/platform/__init__.py
@@ -1,6 +1,6 @@
 """Adapter to the users' platform: its names and encodings stand here alone."""
 
-from .bounds import Bounds, decode_bounds
+from .bounds import SETTINGS_VARIABLE, Bounds, decode_bounds
 from .callers import PresentedFacts, answer_headers, caller_facts, refusal_headers
 from .configuration import decode_configuration
 from .directory import (
@@ -28,6 +28,7 @@
     "ENTRY_PREFIX",
     "READY_PATH",
     "RESOLVE_PATH",
+    "SETTINGS_VARIABLE",
     "AnswerFacts",
     "Bounds",
     "PresentedFacts",
--- a/src/chervilpitch/platform/bounds.py
+++ b/src/chervilpitch/platform/bounds.py
@@ -6,7 +6,10 @@
 
 from .units import DecodeError, seconds
 
-__all__ = ["Bounds", "decode_bounds"]
+__all__ = ["SETTINGS_VARIABLE", "Bounds", "decode_bounds"]
+
+SETTINGS_VARIABLE = "CHERVILPITCH_CONFIG"
+"""Environment variable with the path of the settings file."""
 
 
 class Bounds(NamedTuple):
--- a/src/chervilpitch/platform/callers.py
+++ b/src/chervilpitch/platform/callers.py
@@ -81,5 +81,3 @@
     if retry_after_s is not None:
         headers.append((RETRY_AFTER, f"{retry_after_s:.2f}".encode()))
     return headers
-
-
--- a/src/chervilpitch/policy/belief.py
+++ b/src/chervilpitch/policy/belief.py
@@ -4,14 +4,14 @@
 
 __all__ = ["Belief", "lateness", "probability"]
 
-RESTING_ODDS = math.log(0.12 / 0.88)
-FAILING_ANSWERS = 0.2
+RESTING_SHARE = 0.15
+FADE_S = 2.0
+FAILING_ANSWERS = 0.22
 GOOD_ANSWERS = 0.985
 SUCCESS_STEP = math.log(FAILING_ANSWERS / GOOD_ANSWERS)
 FAILURE_STEP = 3.0
-LEAST_ODDS = -4.5
-MOST_ODDS = 5.0
-FADE_S = 3.0
+LEAST_SHARE = 0.004
+MOST_SHARE = 0.995
 
 
 def lateness(survival: float) -> float:
@@ -38,24 +38,29 @@
     return 1 / (1 + math.exp(-odds))
 
 
+def odds_of(share: float) -> float:
+    """Return the log-odds of a probability."""
+    return math.log(share / (1 - share))
+
+
 class Belief:
     """Evidence on one upstream from requests that have ended.
 
     Notes
     -----
-    Gray failures begin and end by themselves, so that evidence loses its weight
-    with the time constant ``FADE_S``, towards the share of upstreams that are
-    failing at any time.
+    Upstreams begin and cease to fail by themselves, at rates whose sum is
+    ``1 / FADE_S``: without evidence the probability moves towards
+    ``RESTING_SHARE``, the share of upstreams that fail at any time.
     """
 
     def __init__(self) -> None:
-        self._odds = RESTING_ODDS
+        self._share = RESTING_SHARE
         self._at_s = 0.0
 
     def odds(self, now_s: float) -> float:
         """Return the log-odds that the upstream is failing."""
         kept = math.exp(-max(0.0, now_s - self._at_s) / FADE_S)
-        return RESTING_ODDS + (self._odds - RESTING_ODDS) * kept
+        return odds_of(RESTING_SHARE + (self._share - RESTING_SHARE) * kept)
 
     def succeeded(self, now_s: float, count: int = 1) -> None:
         """Take in good answers."""
@@ -78,6 +83,6 @@
         self._add(now_s, evidence)
 
     def _add(self, now_s, step):
-        odds = self.odds(now_s) + step
-        self._odds = min(MOST_ODDS, max(LEAST_ODDS, odds))
+        share = probability(self.odds(now_s) + step)
+        self._share = min(MOST_SHARE, max(LEAST_SHARE, share))
         self._at_s = now_s
--- a/src/chervilpitch/policy/placement.py
+++ b/src/chervilpitch/policy/placement.py
@@ -23,10 +23,16 @@
 SAME_REGION_COST_S = 0.02
 ELSEWHERE_COST_S = 0.10
 UPLOAD_DISTANCE_FACTOR = 3.0
-LOAD_COST_S = 0.004
+LOAD_COST_S = 0.02
 JITTER_S = 0.02
 SCOUT_AFTER_S = 0.8
-SCOUT_SHARE = 0.6
+SCOUT_SHARES = {
+    RequestKind.SAFE: 0.6,
+    RequestKind.UNSAFE: 0.25,
+    RequestKind.UPLOAD: 0.25,
+}
+UNTRIED_S = 1.3
+UNTRIED_SUSPICION = 0.3
 
 
 class Location(NamedTuple):
@@ -146,8 +152,8 @@
         if not usable:
             return None
         numbers = iter(draws)
-        if kind.is_idempotent and next(numbers) < SCOUT_SHARE:
-            scouted = self._to_scout(usable, now_s)
+        if next(numbers) < SCOUT_SHARES[kind]:
+            scouted = self._to_scout(usable, kind, now_s)
             if scouted is not None:
                 expected_s = self._expected_s(scouted, baseline, now_s)
                 return Choice(scouted, expected_s, True)
@@ -176,20 +182,25 @@
         made = (state.report(now_s) for state in self._states.values())
         return tuple(report for report in made if report is not None)
 
-    def _to_scout(self, usable, now_s) -> UpstreamState | None:
+    def _to_scout(self, usable, kind, now_s) -> UpstreamState | None:
         """Return the upstream in the region that was tried least lately."""
-        due = [
-            (state.tried_at_s, at)
-            for at, state in enumerate(usable)
-            if now_s - state.tried_at_s > SCOUT_AFTER_S and self._is_near(state)
-        ]
-        return usable[min(due)[1]] if due else None
+        near = [state for state in usable if self._is_near(state)]
+        if not near:
+            return None
+        state = min(near, key=lambda item: item.tried_at_s)
+        untried_s = now_s - state.tried_at_s
+        if kind.is_idempotent:
+            return state if untried_s > SCOUT_AFTER_S else None
+        is_sound = state.suspicion(now_s) < UNTRIED_SUSPICION
+        return state if untried_s > UNTRIED_S and is_sound else None
 
     def _cost_s(self, state, kind, baseline, now_s):
         failure_s = FAILURE_COST_S[kind] * state.suspicion(now_s)
         load_s = LOAD_COST_S * state.load(now_s)
         distance_s = self._distance_s(state, kind)
-        return self._expected_s(state, baseline, now_s) + failure_s + load_s + distance_s
+        return (
+            self._expected_s(state, baseline, now_s) + failure_s + load_s + distance_s
+        )
 
     def _expected_s(self, state, baseline, now_s):
         slots = state.entry.slots
--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -52,9 +52,7 @@
         Monotonic time in seconds.
     """
 
-    def __init__(
-        self, rate_per_s: float, burst: float, tolerance: float, now_s: float
-    ):
+    def __init__(self, rate_per_s: float, burst: float, tolerance: float, now_s: float):
         self._rate_per_s = rate_per_s
         self._burst = burst
         self._least = 1 - tolerance
--- a/src/chervilpitch/policy/upstream_state.py
+++ b/src/chervilpitch/policy/upstream_state.py
@@ -184,8 +184,11 @@
 
     def hear(self, report: UpstreamReport, source: str, now_s: float) -> None:
         """Take in what another instance tells."""
+        before = self._remote.get(source)
         self._remote[source] = RemoteLoad(report.in_flight, report.lateness, now_s)
-        self._tried_at_s = now_s
+        has_begun = report.in_flight > (before.in_flight if before else 0)
+        if has_begun or report.succeeded or report.failed:
+            self._tried_at_s = now_s
         if report.succeeded:
             self._belief.succeeded(now_s, report.succeeded)
         if report.failed:
--- a/src/chervilpitch/settings/load.py
+++ b/src/chervilpitch/settings/load.py
@@ -162,7 +162,9 @@
         return Err(tuple(to_problem(item, tree, file) for item in error.errors()))
 
 
-def to_problem(item: Any, tree: dict[str, dict[str, str]], file: str) -> SettingsProblem:
+def to_problem(
+    item: Any, tree: dict[str, dict[str, str]], file: str
+) -> SettingsProblem:
     """Return the problem for an error of the schema."""
     section, option = ([str(part) for part in item["loc"]] + ["", ""])[:2]
     seen = tree.get(section, {}).get(option, "")
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,186 @@
+"""A stand-in for an upstream that speaks the platform's protocol, or breaks it."""
+
+import asyncio
+import socket
+import struct
+from enum import StrEnum
+
+import h11
+
+__all__ = ["Behaviour", "TargetStandin"]
+
+
+class Behaviour(StrEnum):
+    """How a stand-in answers."""
+
+    FINE = "fine"
+    HANG = "hang"
+    RESET = "reset"
+    SHED = "shed"
+    ERROR = "error"
+    TRUNCATED = "truncated"
+    UNSEALED = "unsealed"
+    EXTRA = "extra"
+    LATE_EXTRA = "late-extra"
+    ENCODED = "encoded"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed-reset"
+
+
+class TargetStandin:
+    """An upstream with one behaviour at a time.
+
+    Attributes
+    ----------
+    runs : list of tuple
+        Method, target, headers and body of each request that it ran.
+    cancelled : int
+        Requests whose connection closed while they ran.
+    """
+
+    def __init__(self, name, behaviour=Behaviour.FINE, work_s=0.0):
+        self.name = name
+        self.behaviour = behaviour
+        self.work_s = work_s
+        self.runs = []
+        self.cancelled = 0
+        self.connections = 0
+        self.address = ""
+        self._server = None
+
+    async def start(self, host="127.0.0.1", port=0):
+        """Listen and return the address."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        bound = self._server.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+        return self.address
+
+    def stop(self):
+        """Stop listening."""
+        self._server.close()
+
+    def entry(self, service, zone, **fields):
+        """Return what the upstream writes about itself in the store."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "capacity": 4,
+            "state": "ready",
+            "cold_remaining": "0ms",
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+        } | fields
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await self._exchange(reader, writer):
+                pass
+        except (ConnectionError, h11.RemoteProtocolError):
+            pass
+        finally:
+            writer.close()
+
+    async def _exchange(self, reader, writer) -> bool:
+        request = await self._receive(reader)
+        if request is None:
+            return False
+        method, target, headers, body = request
+        wanted = headers.get("x-chervilpitch-target-instance")
+        if wanted != self.name:
+            other = {"X-Chervilpitch-Instance-Id": self.name}
+            writer.write(self._answer(headers, 421, b"", other))
+            return True
+        if self.behaviour is Behaviour.SHED:
+            other = {"X-Chervilpitch-Not-Executed": "1"}
+            writer.write(self._answer(headers, 503, b"", other))
+            return True
+        self.runs.append((method, target, headers, body))
+        return await self._run(reader, writer, headers)
+
+    async def _run(self, reader, writer, headers) -> bool:
+        work = asyncio.create_task(self._work())
+        left = asyncio.create_task(reader.read(1))
+        await asyncio.wait((work, left), return_when=asyncio.FIRST_COMPLETED)
+        if not work.done():
+            self.cancelled += 1
+            work.cancel()
+            return False
+        left.cancel()
+        await asyncio.wait((left,))
+        return await self._respond(writer, headers)
+
+    async def _work(self):
+        is_hanging = self.behaviour is Behaviour.HANG
+        await asyncio.sleep(60 if is_hanging else self.work_s)
+
+    async def _respond(self, writer, headers) -> bool:
+        body = self.name.encode()
+        seal = {"X-Chervilpitch-Response-Seal": "s." + self.name}
+        behaviour = self.behaviour
+        if behaviour is Behaviour.RESET:
+            _reset(writer)
+            return False
+        if behaviour is Behaviour.ERROR:
+            writer.write(self._answer(headers, 500, b"failed", seal))
+            return True
+        if behaviour is Behaviour.TRUNCATED:
+            writer.write(self._answer(headers, 200, body, seal)[:-1])
+            return False
+        if behaviour is Behaviour.UNSEALED:
+            writer.write(self._answer(headers, 200, body, {}))
+            return True
+        if behaviour is Behaviour.ENCODED:
+            encoded = seal | {"Content-Encoding": "gzip"}
+            writer.write(self._answer(headers, 200, body, encoded))
+            return True
+        if behaviour in (Behaviour.UNFRAMED, Behaviour.UNFRAMED_RESET):
+            text = self._answer(headers, 200, body, seal)
+            length = b"Content-Length: %d\r\n" % len(body)
+            writer.write(text.replace(length, b""))
+            if behaviour is Behaviour.UNFRAMED_RESET:
+                await asyncio.sleep(0.05)
+                _reset(writer)
+            return False
+        writer.write(self._answer(headers, 200, body, seal))
+        if behaviour is Behaviour.EXTRA:
+            writer.write(self._answer(headers, 200, body, seal))
+        if behaviour is Behaviour.LATE_EXTRA:
+            late = self._answer(headers, 200, b"late", seal)
+            asyncio.get_running_loop().call_later(0.05, writer.write, late)
+        return True
+
+    def _answer(self, headers, status, body, fields) -> bytes:
+        lines = [f"HTTP/1.1 {status} Any"]
+        request_id = headers.get("x-chervilpitch-request-id", "")
+        lines.append(f"X-Chervilpitch-Request-Id: {request_id}")
+        lines.extend(f"{name}: {value}" for name, value in fields.items())
+        lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    async def _receive(self, reader):
+        http = h11.Connection(h11.SERVER)
+        head, parts = None, []
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(65_536)
+                if not data:
+                    return None
+                http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                fields = {k.decode(): v.decode() for k, v in head.headers}
+                return head.method, head.target.decode(), fields, b"".join(parts)
+
+
+def _reset(writer):
+    """Close a connection by a reset instead of an orderly end."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,177 @@
+"""What the platform publishes becomes the project's types, or a typed error."""
+
+import base64
+import hashlib
+import json
+
+import pytest
+
+from chervilpitch import platform
+from chervilpitch.model import RequestKind, StoreItem, WeightedService
+
+ROUTE = {
+    "name": "r",
+    "prefix": "/a/",
+    "kind": "safe",
+    "timeout": "2000ms",
+    "aim": "0.8s",
+    "priority": 2,
+    "traffic_split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+    "max_attempts": 2,
+    "no_auth": False,
+}
+CONFIGURATION = {
+    "version": 7,
+    "services": [{"name": "s", "health_path": "/health", "max_connections": 330}],
+    "limits": {"max_header_bytes": 100, "idle_timeout": "15000ms"},
+    "tenants": [
+        {"name": "t", "api_keys": ["k"], "priority": 1, "rate_per_s": 5, "burst": 6}
+    ],
+    "virtual_hosts": [{"host": "A.example", "path_routes": [ROUTE]}],
+}
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "capacity": 4,
+    "state": "ready",
+    "cold_remaining": "2.5s",
+    "sequence": 4,
+    "born": 1700,
+}
+
+
+def encoded(value):
+    return json.dumps(value).encode()
+
+
+def test_a_configuration_is_decoded():
+    decoded = platform.decode_configuration(encoded(CONFIGURATION)).unwrap()
+    (route,) = decoded.routes
+    assert decoded.version == 7
+    assert (route.host, route.kind) == ("a.example", RequestKind.SAFE)
+    assert (route.timeout_s, route.aim_s) == (2.0, 0.8)
+    assert route.services == (WeightedService("s", 90.0), WeightedService("t", 10.0))
+    assert route.needs_key
+    assert decoded.account_of_key == {hashlib.sha256(b"k").hexdigest(): "t"}
+    assert decoded.accounts["t"].rate_per_s == 5
+    assert decoded.limits.max_header_bytes == 100
+    assert decoded.limits.header_timeout_s == 3.0
+
+
+def test_without_accounts_no_route_needs_a_key():
+    fields = CONFIGURATION | {"tenants": []}
+    decoded = platform.decode_configuration(encoded(fields)).unwrap()
+    assert not decoded.routes[0].needs_key
+
+
+@pytest.mark.parametrize("content", [b"", b"[]", b"{}", b"\xff", b'{"version": "x"}'])
+def test_a_malformed_configuration_is_an_error(content):
+    assert platform.decode_configuration(content).is_err()
+
+
+def test_an_entry_is_decoded():
+    entry = platform.decode_entry("servers/i-1", encoded(ENTRY)).unwrap()
+    assert entry.name == "i-1"
+    assert (entry.service, entry.failure_domain, entry.slots) == ("s", "z", 4)
+    assert (entry.cold_for_s, entry.born_ms, entry.sequence) == (2.5, 1700, 4)
+    assert not entry.is_draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": 5},
+        {"service": ""},
+        {"address": "10.0.0.1"},
+        {"address": ":80"},
+        {"address": "10.0.0.1:99999"},
+        {"state": "busy"},
+        {"state": None},
+        {"capacity": "4"},
+        {"capacity": True},
+        {"sequence": None},
+        {"sequence": 1.5},
+        {"cold_remaining": 5},
+        {"zone": ["z"]},
+        {"born": "x"},
+    ],
+)
+def test_a_malformed_entry_is_an_error(change):
+    assert platform.decode_entry("servers/i-1", encoded(ENTRY | change)).is_err()
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "capacity", "state"])
+def test_an_entry_that_lacks_a_field_is_an_error(field):
+    fields = {name: value for name, value in ENTRY.items() if name != field}
+    assert platform.decode_entry("servers/i-1", encoded(fields)).is_err()
+
+
+@pytest.mark.parametrize("content", [b"", b"\xff\xfe", b"[1]", b"3", b"null"])
+def test_bytes_that_are_no_entry_are_an_error(content):
+    assert platform.decode_entry("servers/i-1", content).is_err()
+
+
+def test_the_store_s_answers_are_read():
+    value = base64.b64encode(b"x").decode()
+    item = {"key": "a", "value": value, "revision": 3, "created": 3, "lease": 0}
+    gone = {"key": "b", "revision": 4, "is_removed": True}
+    body = encoded({"events": [item, gone], "current_rev": 9})
+    changes = platform.parse_watch(200, body).unwrap()
+    assert changes.items == (StoreItem("a", b"x", 3), StoreItem("b", b"", 4, True))
+    assert changes.revision == 9
+    one = platform.parse_key(200, encoded(item | {"current_rev": 9})).unwrap()
+    assert one.items == (StoreItem("a", b"x", 3),)
+    assert platform.parse_key(404, b"").unwrap().items == ()
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "problem"),
+    [
+        (410, b"", platform.StoreProblem.HISTORY_GONE),
+        (503, b"", platform.StoreProblem.REFUSED),
+        (429, b"", platform.StoreProblem.REFUSED),
+        (200, b"no json", platform.StoreProblem.UNREADABLE),
+        (200, b'{"events": [{}], "current_rev": 1}', platform.StoreProblem.UNREADABLE),
+    ],
+)
+def test_an_answer_that_gives_nothing_says_why(status, body, problem):
+    assert platform.parse_watch(status, body).unwrap_err() is problem
+
+
+def test_bounds_ignore_what_is_new_and_report_what_is_wrong():
+    bounds = platform.decode_bounds(("revoke=4s", "new=1", "drain=1500ms")).unwrap()
+    assert (bounds.revocation_s, bounds.drain_s) == (4.0, 1.5)
+    problems = platform.decode_bounds(("grace=soon", "drain=2")).unwrap_err()
+    assert problems == ("grace=soon", "drain=2")
+
+
+def test_hop_by_hop_headers_and_those_of_instances_are_dropped():
+    headers = [
+        (b"host", b"a"),
+        (b"connection", b"X-Private, close"),
+        (b"x-private", b"1"),
+        (b"transfer-encoding", b"chunked"),
+        (b"x-chervilpitch-key", b"k"),
+        (b"x-chervilpitch-tenant", b"forged"),
+        (b"x-chervilpitch-request-id", b"id"),
+    ]
+    sent = platform.upstream_headers(headers, "i-1", "t", 1.5)
+    assert (b"host", b"a") in sent
+    assert (b"x-chervilpitch-request-id", b"id") in sent
+    assert (b"X-Chervilpitch-Tenant", b"t") in sent
+    assert (b"X-Chervilpitch-Timeout-Remaining", b"1500") in sent
+    assert len(sent) == 5
+
+
+def test_the_load_and_the_idle_time_are_read():
+    headers = [
+        (b"x-chervilpitch-server-load", b"3,0,8"),
+        (b"keep-alive", b"timeout=5, max=10"),
+    ]
+    facts = platform.answer_facts(200, headers)
+    assert facts.load == (3, 0, 8)
+    assert facts.idle_for_s == 5.0
+    other = [(b"x-chervilpitch-server-load", b"3,x,8")]
+    assert platform.answer_facts(200, other).load is None
--- /dev/null
+++ b/tests/policy/test_store_view.py
@@ -0,0 +1,107 @@
+"""Copies of the store's items, and what they prove."""
+
+from chervilpitch.model import StoreItem, UpstreamEntry
+from chervilpitch.policy import (
+    Freshness,
+    FreshnessLimits,
+    ItemReplica,
+    RetryBudget,
+    UpstreamListing,
+)
+
+
+def entry(name, born_ms=1, sequence=1, **fields):
+    given = UpstreamEntry(name, "s", "a:1", "z", 4, False, 0.0, born_ms, sequence)
+    return given._replace(**fields)
+
+
+def item(key, revision, is_removed=False):
+    return StoreItem(key, b"" if is_removed else b"v", revision, is_removed)
+
+
+def test_changes_in_any_order_give_the_newest_items():
+    replica = ItemReplica()
+    assert replica.change([item("a", 5), item("b", 6)], 6) == ("a", "b")
+    assert replica.change([item("a", 4)], 6) == ()
+    assert replica.change([item("a", 7, True)], 7) == ("a",)
+    assert replica.change([item("a", 5)], 7) == ()
+    assert [known.key for known in replica.items] == ["b"]
+
+
+def test_what_changed_since_a_revision_includes_removals():
+    replica = ItemReplica()
+    replica.change([item("a", 5), item("b", 6)], 6)
+    replica.change([item("a", 7, True)], 7)
+    assert {known.key for known in replica.since(5)} == {"a", "b"}
+    assert [known.key for known in replica.since(6)] == ["a"]
+
+
+def test_a_complete_list_removes_what_it_lacks():
+    replica = ItemReplica()
+    replica.change([item("a", 5), item("b", 6)], 6)
+    assert replica.replace([item("b", 6)], 9) == ("a",)
+    assert [known.key for known in replica.items] == ["b"]
+
+
+def test_an_item_written_after_a_list_was_read_stays():
+    replica = ItemReplica()
+    replica.change([item("a", 12)], 12)
+    replica.replace([], 9)
+    assert [known.key for known in replica.items] == ["a"]
+
+
+def test_a_proof_is_worth_the_time_of_its_question():
+    freshness = Freshness(FreshnessLimits.of(5.0, 2.0))
+    assert not freshness.may_use_keys(0.0)
+    assert freshness.prove(10.0, 10.5)
+    assert not freshness.prove(9.0, 10.6)
+    assert freshness.may_use_keys(14.6)
+    assert not freshness.may_use_keys(14.8)
+    assert not freshness.may_deny(13.0)
+
+
+def test_the_end_of_a_gap_between_proofs_is_known():
+    freshness = Freshness(FreshnessLimits.of(5.0, 2.0))
+    freshness.prove(10.0, 10.0)
+    freshness.prove(11.0, 11.2)
+    assert freshness.regained_at_s == 10.0
+    freshness.prove(20.0, 20.1)
+    assert freshness.regained_at_s == 20.1
+
+
+def test_a_late_entry_of_an_earlier_incarnation_is_ignored():
+    listing = UpstreamListing()
+    listing.update([entry("a", born_ms=5, sequence=1)], 1.0, 0.0)
+    listed = listing.update([entry("a", born_ms=4, sequence=9)], 2.0, 0.0)
+    assert listed[0].born_ms == 5
+    draining = entry("a", born_ms=5, sequence=3, is_draining=True)
+    listing.update([draining], 3.0, 0.0)
+    assert listing.update([entry("a", 5, 2)], 4.0, 0.0) == (draining,)
+
+
+def test_a_removed_upstream_does_not_come_back_by_an_old_entry():
+    listing = UpstreamListing()
+    listing.update([entry("a", sequence=5)], 1.0, 0.0)
+    assert listing.update([], 2.0, 0.0) == ()
+    assert listing.update([entry("a", sequence=4)], 3.0, 0.0) == ()
+    assert listing.update([entry("a", sequence=6)], 4.0, 0.0)
+
+
+def test_entries_that_lapsed_during_an_outage_hold_until_they_should_be_back():
+    listing = UpstreamListing()
+    listing.update([entry("a")], 1.0, 0.0)
+    assert listing.update([], 10.0, 12.0) == (entry("a"),)
+    assert listing.update([], 12.1, 12.0) == ()
+
+
+def test_repeats_stay_within_the_share_and_the_part_of_the_slack():
+    budget = RetryBudget(0.2, 10.0, 50.0)
+    for _ in range(100):
+        budget.request(1.0)
+    repeats = 0
+    while budget.allows(1.5, 20):
+        budget.repeat(1.5)
+        repeats += 1
+    assert 10 <= repeats <= 0.2 * 100 + 50 / 20
+    assert not budget.allows(9.0, 20)
+    assert budget.allows(25.0, 20)
