--- a/src/chervilpitch/gateway/fleet.py
+++ b/src/chervilpitch/gateway/fleet.py
@@ -257,8 +257,10 @@
     def _own_state(self) -> MemberState:
         if self._state.is_leaving:
             return MemberState.LEAVING
-        is_ready = self._state.is_ready()
-        return MemberState.SERVING if is_ready else MemberState.STARTING
+        if self._state.is_ready():
+            return MemberState.SERVING
+        has_configuration = self._state.configuration.version > 0
+        return MemberState.STALE if has_configuration else MemberState.STARTING
 
     def _other_seeds(self):
         own = self._members.own.peers_address
--- a/src/chervilpitch/policy/directory.py
+++ b/src/chervilpitch/policy/directory.py
@@ -16,7 +16,8 @@
     """Return addresses of serving instances, those near the caller alone if enough.
 
     Answers the loss of most instances of a failure domain: callers are then sent
-    to the rest of the region, and to other regions when that is gone too.
+    to the rest of the region, and to other regions when that is gone too. While the
+    store is away for all, callers keep the instances that had a configuration.
 
     Parameters
     ----------
@@ -30,7 +31,10 @@
     tuple of str
         At most ``MOST_ADDRESSES`` hosts and ports.
     """
-    serving = [item for item in members if item.state == MemberState.SERVING]
+    known = tuple(members)
+    serving = [item for item in known if item.state == MemberState.SERVING]
+    if not serving:
+        serving = [item for item in known if item.state == MemberState.STALE]
     near = [item for item in serving if item.failure_domain == failure_domain]
     if len(near) < ENOUGH:
         near = [item for item in serving if item.region == region]
--- a/src/chervilpitch/policy/members.py
+++ b/src/chervilpitch/policy/members.py
@@ -13,11 +13,16 @@
 
 
 class MemberState(IntEnum):
-    """What an instance says of itself."""
+    """What an instance says of itself.
+
+    One that is stale has a configuration but no new proof that it still holds; it
+    refuses requests that need a key.
+    """
 
     STARTING = 0
     SERVING = 1
     LEAVING = 2
+    STALE = 3
 
 
 class Member(NamedTuple):
--- a/src/chervilpitch/policy/upstream_state.py
+++ b/src/chervilpitch/policy/upstream_state.py
@@ -110,6 +110,7 @@
         self._succeeded = 0
         self._failed = 0
         self._late = 0.0
+        self._told_lateness = 0.0
         self._is_reported = True
         self._tried_at_s = now_s - math.inf
 
@@ -221,16 +222,18 @@
         """Return whether others should know at once what happened here."""
         if self._failed or self._late > URGENT_LATENESS:
             return True
-        return self._own_lateness(now_s) > URGENT_LATENESS
+        gained = self._own_lateness(now_s) - self._told_lateness
+        return gained > URGENT_LATENESS
 
     def report(self, now_s: float) -> UpstreamReport | None:
         """Return what is to be told to others, and begin the next report."""
         if self._is_reported and not self._waiting:
             return None
+        self._told_lateness = self._own_lateness(now_s)
         report = UpstreamReport(
             self._entry.name,
             len(self._waiting),
-            round(self._own_lateness(now_s), 2),
+            round(self._told_lateness, 2),
             self._succeeded,
             self._failed,
             round(self._late, 2),
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -101,3 +101,10 @@
         member("b", state=int(MemberState.LEAVING)),
     ]
     assert addresses_for(members, "north", "n1") == ()
+
+
+def test_callers_keep_stale_instances_only_while_none_serves():
+    stale = member("a", state=int(MemberState.STALE))
+    assert addresses_for([stale], "north", "n1") == ("a:1",)
+    others = [member("b"), member("c")]
+    assert addresses_for([stale, *others], "north", "n1") == ("b:1", "c:1")
