Compare checksums of the entries that instances pass on; read alone sooner

Instances now compare checksums and ask for everything when they differ. Also: two instances of a region read, and the others read by themselves when neither answers for 0.9 s (before: proofs older than 3 s). Ruled out: the store's delay (the acks were on time).

--- a/src/chervilpitch/gateway/fleet.py
+++ b/src/chervilpitch/gateway/fleet.py
@@ -3,14 +3,14 @@
 import random
 from functools import singledispatchmethod
 
-from chervilpitch.model import StoreItem
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
     ELSEWHERE_ALIVE_S,
     AccountUsage,
     MemberState,
+    ReadingState,
     UsageTotals,
-    is_reader,
+    is_current,
     sources,
 )
 
@@ -30,7 +30,7 @@
 log = part_logger("fleet")
 
 NO_PROOF_S = 1e6
-UNANSWERED_S = 0.6
+UNANSWERED_S = 0.45
 MOST_BEATS = 16
 GATHER_S = 0.28
 REGIONS_S = 0.5
@@ -57,13 +57,13 @@
         self._clock = clock
         self._totals = UsageTotals()
         self._told_usage: dict[str, int] = {}
-        self._started_at_s = clock()
         self._tell_at_s = 0.0
         self._tell_regions_at_s = 0.0
         self._question = 0
         self._asked_at_s: dict[int, float] = {}
         self._source = 0
-        self._is_reading = False
+        self._lacks_entries = False
+        self._reading = ReadingState(clock())
         self._socket = PeerSocket(self._members.own, self.receive)
 
     @property
@@ -74,23 +74,21 @@
     @property
     def is_reading(self) -> bool:
         """Whether this instance reads the store itself."""
-        return self._is_reading
+        return self._reading.is_reading
 
     def follow_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other seeds."""
         self._seeds = seeds
 
-    def decide_reading(self) -> bool:
-        """Decide whether this instance reads the store itself, and return it."""
+    def decide_reading(self) -> None:
+        """Decide whether this instance reads the store itself."""
         now_s = self._clock()
-        age_s = self._state.freshness.age_s(now_s)
+        before = self._reading.is_reading
         ranked = self._members.ranked(now_s)
-        uptime_s = now_s - self._started_at_s
-        reads = is_reader(ranked, self._members.own, age_s, self._is_reading, uptime_s)
-        if reads != self._is_reading:
+        reads = self._reading.decide(ranked, self._members.own, now_s)
+        if reads != before:
+            age_s = self._state.freshness.age_s(now_s)
             log.info("Reading changes.", reads=reads, proof_age_s=round(age_s, 2))
-        self._is_reading = reads
-        return reads
 
     def beat(self) -> None:
         """Tell others that this instance is there, and what it knows of others."""
@@ -158,9 +156,7 @@
             self._send(self._members.in_region(now_s), message)
 
     def ask(self) -> None:
-        """Ask another instance for the store's state, unless this one reads it."""
-        if self._is_reading:
-            return
+        """Ask another instance for the store's state."""
         now_s = self._clock()
         candidates = sources(self._members.ranked(now_s), self._members.own)
         if not candidates:
@@ -173,8 +169,8 @@
         chosen = candidates[self._source % len(candidates)]
         question = StateQuestion(
             self._question,
-            self._state.configuration_items.revision,
-            self._state.entry_items.revision,
+            self._state.configuration_revision,
+            0 if self._lacks_entries else self._state.entry_items.revision,
         )
         self._send([chosen], question)
 
@@ -219,39 +215,48 @@
         if not self._socket.send([address], answer):
             log.warning("State too large for a datagram.", asked_by=datagram.sender)
             answer = answer._replace(configuration=(), entries=(), is_complete=False)
-            answer = answer._replace(configuration_revision=0, entries_revision=0)
-            self._socket.send([address], answer._replace(proof_age_s=NO_PROOF_S))
+            answer = answer._replace(entries_revision=0, proof_age_s=NO_PROOF_S)
+            self._socket.send([address], answer)
 
     @_receive.register
     def _(self, message: StateAnswer, datagram, address):
         asked_at_s = self._asked_at_s.pop(message.number, None)
         if asked_at_s is None:
             return
+        if is_current(message.proof_age_s):
+            self._reading.answered(asked_at_s)
+        else:
+            self._source += 1
         state = self._state
         if message.proof_age_s < NO_PROOF_S:
             state.take_configuration_items(
-                message.configuration,
-                message.configuration_revision,
-                asked_at_s - message.proof_age_s,
+                message.configuration, asked_at_s - message.proof_age_s
             )
         if message.entries_revision:
             state.take_entry_items(
                 message.entries, message.entries_revision, message.is_complete
             )
+            digest = state.entry_items.digest
+            self._lacks_entries = digest != message.entries_digest
 
     def _answer(self, question, age_s) -> StateAnswer:
-        configuration = self._state.configuration_items
+        configuration = self._state.configuration_item
+        is_newer = (
+            configuration is not None
+            and configuration.revision > question.configuration_revision
+        )
         entries = self._state.entry_items
         changed = entries.since(question.entries_revision)
         is_complete = question.entries_revision == 0 or changed is None
         return StateAnswer(
             question.number,
             age_s,
-            configuration.revision,
-            _changed_items(configuration, question.configuration_revision),
+            self._state.configuration_revision,
+            (configuration,) if is_newer else (),
             entries.revision,
             entries.items if is_complete else changed,
             is_complete,
+            entries.digest,
         )
 
     def _own_state(self) -> MemberState:
@@ -301,7 +306,3 @@
             AccountUsage(name, own.get(name, 0) + others.get(name, 0))
             for name in sorted(names)
         )
-
-
-def _changed_items(replica, revision) -> tuple[StoreItem, ...]:
-    return tuple(item for item in replica.items if item.revision > revision)
--- a/src/chervilpitch/gateway/forward.py
+++ b/src/chervilpitch/gateway/forward.py
@@ -8,7 +8,7 @@
 from chervilpitch import platform
 from chervilpitch.model import HostRoute, RefusalKind
 from chervilpitch.observe import part_logger
-from chervilpitch.policy import Choice
+from chervilpitch.policy import Choice, is_overloaded, retry_after_s
 
 from .http_client import Answer, ExchangeError, FailureKind, HttpRequest
 from .http_server import ServerRequest
@@ -24,7 +24,6 @@
 DOUBTFUL_SUSPICION = 0.6
 LATE_SURVIVAL = 0.04
 MOST_PLACES = 5
-NO_ROOM_RETRY_S = 0.4
 
 
 class Outgoing(NamedTuple):
@@ -195,7 +194,8 @@
         )
         if choice is None:
             return RefusalKind.NO_UPSTREAM
-        if choice.expected_s > outgoing.deadline_at_s - now_s:
+        left_s = outgoing.deadline_at_s - now_s
+        if not progress.sends and is_overloaded(route, choice.expected_s, left_s):
             return RefusalKind.NO_SLOT
         if progress.sends:
             self._state.budget(outgoing.service).repeat(now_s)
@@ -273,8 +273,9 @@
             return Ending(progress.fallback, None, True, places)
         if progress.may_have_run:
             return Ending(None, RefusalKind.UPSTREAM_FAILED, True, places)
-        retry_after_s = NO_ROOM_RETRY_S * (0.5 + random.random())
-        return Ending(None, refusal, False, places, retry_after_s)
+        usual_s = retry_after_s(refusal)
+        spread_s = usual_s * (0.5 + random.random())
+        return Ending(None, refusal, False, places, spread_s)
 
     async def _attempt(self, outgoing, choice) -> _Result:
         upstream = choice.upstream
@@ -322,9 +323,11 @@
             upstream.told(facts.load[0], facts.load[1], now_s)
         self._pool.give_back(upstream.entry.name, connection, facts.idle_for_s)
         if facts.is_not_run:
-            upstream.not_run(number)
             if facts.is_misdirected:
+                upstream.not_run(number)
                 upstream.misdirected()
+            else:
+                upstream.shed(number, now_s)
             return _Result(Outcome.NOT_RUN, cause=f"not-run {answer.status}")
         is_success = 200 <= answer.status < 300
         if facts.is_encoded or (is_success and not facts.is_sealed):
--- a/src/chervilpitch/gateway/gateway.capnp
+++ b/src/chervilpitch/gateway/gateway.capnp
@@ -76,4 +76,5 @@
   entriesRevision @4 :UInt64;
   entries @5 :List(StoreItem);
   isComplete @6 :Bool;
+  entriesDigest @7 :UInt32;
 }
--- a/src/chervilpitch/gateway/messages.py
+++ b/src/chervilpitch/gateway/messages.py
@@ -66,8 +66,10 @@
     ----------
     number : int
         Number of the question; the answer bears it.
-    configuration_revision, entries_revision : int
-        What the sender has already; 0 for nothing.
+    configuration_revision : int
+        Revision at which the configuration that the sender has was written.
+    entries_revision : int
+        Revision up to which the sender knows upstreams; 0 to get all of them.
     """
 
     number: int
@@ -85,7 +87,7 @@
     proof_age_s : float
         Age in seconds of the proof that the configuration is the newest one.
     configuration_revision : int
-        Revision up to which the configuration is known.
+        Revision at which the newest configuration was written.
     configuration : tuple of StoreItem
         The configuration, if the asker lacks it.
     entries_revision : int
@@ -94,6 +96,8 @@
         Upstreams that have changed, or all of them.
     is_complete : bool
         Whether ``entries`` is the complete list.
+    entries_digest : int
+        Checksum of the upstreams that the answering instance knows.
     """
 
     number: int
@@ -103,3 +107,4 @@
     entries_revision: int
     entries: tuple[StoreItem, ...]
     is_complete: bool
+    entries_digest: int
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -62,7 +62,7 @@
         self._upstreams = UpstreamTable(location)
         self._configuration = NO_CONFIGURATION
         self._routes = RouteTable(())
-        self._configuration_items = ItemReplica()
+        self._configuration_item: StoreItem | None = None
         self._entry_items = ItemReplica()
         self._listing = UpstreamListing()
         limits = FreshnessLimits.of(bounds.revocation_s, bounds.configuration_s)
@@ -106,9 +106,15 @@
         return self._freshness
 
     @property
-    def configuration_items(self) -> ItemReplica:
-        """The configuration as it lies in the store."""
-        return self._configuration_items
+    def configuration_item(self) -> StoreItem | None:
+        """The newest configuration as it lies in the store."""
+        return self._configuration_item
+
+    @property
+    def configuration_revision(self) -> int:
+        """Revision at which the newest configuration was written; 0 for none."""
+        item = self._configuration_item
+        return 0 if item is None else item.revision
 
     @property
     def entry_items(self) -> ItemReplica:
@@ -149,23 +155,23 @@
         return has_configuration and is_fresh and not self._is_leaving
 
     def take_configuration_items(
-        self, items: tuple[StoreItem, ...], revision: int, proved_at_s: float
+        self, items: tuple[StoreItem, ...], proved_at_s: float
     ) -> None:
         """Take in the configuration as it was read.
 
         Parameters
         ----------
         items : tuple of StoreItem
-            What has changed.
-        revision : int
-            Revision of the store up to which that is all.
+            The configuration, if it has changed.
         proved_at_s : float
-            Monotonic time in seconds for which that is sure.
+            Monotonic time in seconds for which it is surely the newest one.
         """
-        changed = self._configuration_items.change(items, revision)
         self._freshness.prove(proved_at_s, self._clock())
-        if changed:
-            self._take_configuration()
+        for item in items:
+            is_configuration = item.key == platform.CONFIGURATION_KEY
+            if is_configuration and item.revision > self.configuration_revision:
+                self._configuration_item = item
+                self._take_configuration(item)
 
     def take_entry_items(
         self, items: tuple[StoreItem, ...], revision: int, is_complete: bool
@@ -192,10 +198,7 @@
         if self._is_review_due:
             self._take_entries(())
 
-    def _take_configuration(self) -> None:
-        item = self._configuration_items.get(platform.CONFIGURATION_KEY)
-        if item is None:
-            return
+    def _take_configuration(self, item):
         decoded = platform.decode_configuration(item.value)
         if decoded.is_err():
             log.error("Configuration unreadable.", cause=str(decoded.unwrap_err()))
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -14,10 +14,10 @@
 log = part_logger("store")
 
 CONNECT_TIMEOUT_S = 0.8
-READ_TIMEOUT_S = 1.5
+READ_TIMEOUT_S = 1.0
 CONFIGURATION_WAIT_MS = 600
 ENTRIES_WAIT_MS = 1_500
-ENTRIES_PAUSE_S = 0.6
+ENTRIES_PAUSE_S = 0.5
 IDLE_POLL_S = 0.15
 RETRY_S = 0.3
 MS_PER_S = 1_000
@@ -147,7 +147,7 @@
             wait_s = CONFIGURATION_WAIT_MS / MS_PER_S
             changes = await self._call(connection, target, platform.parse_watch, wait_s)
             proved_at_s = began_at_s - DEAF_WATCH_S
-        state.take_configuration_items(changes.items, changes.revision, proved_at_s)
+        state.take_configuration_items(changes.items, proved_at_s)
         return changes.revision
 
     async def _read_entries(self, connection, revision) -> int:
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -7,9 +7,10 @@
 from .latency import LatencyBaseline
 from .listing import UpstreamListing
 from .members import ELSEWHERE_ALIVE_S, Member, MemberState, MemberTable
+from .overload import is_overloaded, retry_after_s
 from .placement import Choice, Location, UpstreamTable
 from .quota import AccountUsage, FleetBucket, UsageTotals
-from .reading import is_reader, sources
+from .reading import ReadingState, is_current, sources
 from .replica import ItemReplica
 from .routes import RouteTable, pick_service
 from .upstream_state import UpstreamReport, UpstreamState
@@ -28,6 +29,7 @@
     "Member",
     "MemberState",
     "MemberTable",
+    "ReadingState",
     "RetryBudget",
     "RouteTable",
     "UpstreamListing",
@@ -36,7 +38,9 @@
     "UpstreamTable",
     "UsageTotals",
     "addresses_for",
-    "is_reader",
+    "is_current",
+    "is_overloaded",
     "pick_service",
+    "retry_after_s",
     "sources",
 ]
--- a/src/chervilpitch/policy/budget.py
+++ b/src/chervilpitch/policy/budget.py
@@ -4,8 +4,8 @@
 
 __all__ = ["RetryBudget"]
 
-USED_SHARE_OF_RATIO = 0.75
-USED_SHARE_OF_SLACK = 0.4
+USED_SHARE_OF_RATIO = 0.9
+USED_SHARE_OF_SLACK = 0.6
 SLICES = 10
 
 
--- a/src/chervilpitch/policy/latency.py
+++ b/src/chervilpitch/policy/latency.py
@@ -31,10 +31,16 @@
     """
 
     def __init__(self, aim_s: float):
+        self._aim_s = aim_s
         self._mu = math.log(max(LEAST_S, aim_s * USUAL_SHARE_OF_AIM))
         self._variance = FIRST_SIGMA**2
         self._weight = FIRST_WEIGHT
 
+    @property
+    def aim_s(self) -> float:
+        """Time in seconds within which answers have their full value."""
+        return self._aim_s
+
     @property
     def median_s(self) -> float:
         """Median answer time in seconds."""
--- a/src/chervilpitch/policy/placement.py
+++ b/src/chervilpitch/policy/placement.py
@@ -205,7 +205,8 @@
     def _expected_s(self, state, baseline, now_s):
         slots = state.entry.slots
         queued = max(0, state.load(now_s) + 1 - slots)
-        return baseline.median_s * state.slowness(now_s) * (1 + queued / slots)
+        usual_s = min(baseline.median_s, baseline.aim_s / 2)
+        return usual_s * state.slowness(now_s) * (1 + queued / slots)
 
     def _distance_s(self, state, kind):
         domain = state.entry.failure_domain
--- a/src/chervilpitch/policy/reading.py
+++ b/src/chervilpitch/policy/reading.py
@@ -1,60 +1,83 @@
 """Which instances of a region read the store for the others."""
 
-import math
 from collections.abc import Sequence
 
 from .members import Member, MemberState
 
-__all__ = ["is_reader", "sources"]
+__all__ = ["ReadingState", "is_current", "sources"]
 
+READERS = 2
 HEAR_FIRST_S = 0.3
 FIRST_ANSWER_S = 1.0
-STALE_S = 3.0
-STALE_STEP_S = 0.25
+UNANSWERED_S = 0.9
+STEP_S = 0.1
 MOST_STEPS = 4
-SOURCES = 3
+READ_FOR_S = 4.0
+CURRENT_S = 2.2
 
 
-def is_reader(
-    ranked: Sequence[Member],
-    own: Member,
-    age_s: float,
-    is_reading: bool,
-    uptime_s: float,
-) -> bool:
-    """Return whether this instance reads the store itself.
+class ReadingState:
+    """Whether this instance reads the store itself, and for how long.
 
-    The first of a region does; the others take its answers. When these grow stale
-    the others begin to read one after the other, so that the store isn't asked by
-    all of them at once, also when all have just started.
+    The first two of a region do; the others take their answers, and turn to the
+    second when the first fails. When neither answers in time the others begin to
+    read one after the other, so that the store isn't asked by all of them at once,
+    also when all have just started.
 
     Parameters
     ----------
-    ranked : sequence of Member
-        Instances of the region in the order that all of them agree on.
-    own : Member
-        This instance.
-    age_s : float
-        Age in seconds of the newest proof.
-    is_reading : bool
-        Whether it reads now.
-    uptime_s : float
-        Seconds since this instance started.
+    now_s : float
+        Monotonic time in seconds at which the instance starts.
     """
-    if uptime_s < HEAR_FIRST_S:
-        return False
-    rank = next(at for at, member in enumerate(ranked) if member.name == own.name)
-    if rank == 0:
-        return True
-    step_s = STALE_STEP_S * min(rank, MOST_STEPS)
-    if age_s == math.inf:
-        return uptime_s > FIRST_ANSWER_S + step_s
-    patience_s = STALE_S + step_s
-    return age_s > (STALE_S / 2 if is_reading else patience_s)
+
+    def __init__(self, now_s: float):
+        self._started_at_s = now_s
+        self._answered_at_s: float | None = None
+        self._until_s = float("-inf")
+        self._is_reading = False
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether this instance reads the store now."""
+        return self._is_reading
+
+    def answered(self, at_s: float) -> None:
+        """Note the question's time of an answer that is current."""
+        self._answered_at_s = max(at_s, self._answered_at_s or at_s)
+
+    def decide(self, ranked: Sequence[Member], own: Member, now_s: float) -> bool:
+        """Decide whether to read, and return it.
+
+        Parameters
+        ----------
+        ranked : sequence of Member
+            Instances of the region in the order that all of them agree on.
+        own : Member
+            This instance.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        rank = next(at for at, member in enumerate(ranked) if member.name == own.name)
+        if self._is_left_alone(rank, now_s):
+            self._until_s = now_s + READ_FOR_S
+        has_heard = now_s - self._started_at_s >= HEAR_FIRST_S
+        is_first = rank == 0 or (rank < READERS and self._answered_at_s is not None)
+        self._is_reading = has_heard and (is_first or now_s < self._until_s)
+        return self._is_reading
+
+    def _is_left_alone(self, rank, now_s):
+        step_s = STEP_S * min(rank, MOST_STEPS)
+        if self._answered_at_s is None:
+            return now_s - self._started_at_s > FIRST_ANSWER_S + step_s
+        return now_s - self._answered_at_s > UNANSWERED_S + step_s
+
+
+def is_current(proof_age_s: float) -> bool:
+    """Return whether an instance that answers with this proof reads the store."""
+    return proof_age_s < CURRENT_S
 
 
 def sources(ranked: Sequence[Member], own: Member) -> list[Member]:
     """Return the instances to ask, best first."""
     others = [member for member in ranked if member.name != own.name]
-    staying = [item for item in others if item.state != MemberState.LEAVING]
-    return staying[:SOURCES]
+    return [item for item in others if item.state != MemberState.LEAVING]
--- a/src/chervilpitch/policy/replica.py
+++ b/src/chervilpitch/policy/replica.py
@@ -1,5 +1,6 @@
 """A copy of the store's items that instances of a region pass on."""
 
+import zlib
 from collections.abc import Iterable
 
 from chervilpitch.model import StoreItem
@@ -27,6 +28,7 @@
         self._removed: dict[str, StoreItem] = {}
         self._revision = 0
         self._complete_since = 0
+        self._digest: int | None = None
 
     @property
     def revision(self) -> int:
@@ -38,6 +40,14 @@
         """Items that are there."""
         return tuple(self._items.values())
 
+    @property
+    def digest(self) -> int:
+        """Checksum of what is there; equal copies have equal ones."""
+        if self._digest is None:
+            words = sorted((key, item.revision) for key, item in self._items.items())
+            self._digest = zlib.crc32(repr(words).encode())
+        return self._digest
+
     def get(self, key: str) -> StoreItem | None:
         """Return an item that is there."""
         return self._items.get(key)
@@ -78,6 +88,7 @@
         known = self._items.get(item.key) or self._removed.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
+        self._digest = None
         self._items.pop(item.key, None)
         self._removed.pop(item.key, None)
         if item.is_removed:
--- a/src/chervilpitch/policy/upstream_state.py
+++ b/src/chervilpitch/policy/upstream_state.py
@@ -168,9 +168,19 @@
         self._late += evidence
 
     def not_run(self, number: int) -> None:
-        """Note that the upstream turned the request away."""
+        """Note that the upstream did not get the request, or turned it away."""
         self._end(number)
 
+    def shed(self, number: int, now_s: float) -> None:
+        """Note that the upstream turned the request away for want of room.
+
+        One that has free slots by its own word is failing.
+        """
+        if self._told_load < self._entry.slots:
+            self.failed(number, now_s)
+        else:
+            self._end(number)
+
     def unreachable(self, number: int, now_s: float) -> None:
         """Note that no connection could be made, a matter of this path alone."""
         self._end(number)
