--- a/src/chervilpitch/gateway/fleet.py
+++ b/src/chervilpitch/gateway/fleet.py
@@ -6,6 +6,7 @@
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
     ELSEWHERE_ALIVE_S,
+    READERS,
     AccountUsage,
     MemberState,
     ReadingState,
@@ -166,7 +167,7 @@
             self._asked_at_s.clear()
         self._question += 1
         self._asked_at_s[self._question] = now_s
-        chosen = candidates[self._source % len(candidates)]
+        chosen = self._next_source(candidates)
         question = StateQuestion(
             self._question,
             self._state.configuration_revision,
@@ -174,6 +175,14 @@
         )
         self._send([chosen], question)
 
+    def _next_source(self, candidates):
+        """Return the instance to ask: one of the readers, seldom another one."""
+        at = self._source % (READERS + 1)
+        if at < min(READERS, len(candidates)):
+            return candidates[at]
+        self._source += 1
+        return random.choice(candidates)
+
     def receive(self, datagram: Datagram, address: str) -> None:
         """Take in a message of another instance."""
         self._receive(datagram.message, datagram, address)
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -10,13 +10,14 @@
 from .overload import is_overloaded, retry_after_s
 from .placement import Choice, Location, UpstreamTable
 from .quota import AccountUsage, FleetBucket, UsageTotals
-from .reading import ReadingState, is_current, sources
+from .reading import READERS, ReadingState, is_current, sources
 from .replica import ItemReplica
 from .routes import RouteTable, pick_service
 from .upstream_state import UpstreamReport, UpstreamState
 
 __all__ = [
     "ELSEWHERE_ALIVE_S",
+    "READERS",
     "AccountUsage",
     "Belief",
     "Choice",
--- a/src/chervilpitch/policy/reading.py
+++ b/src/chervilpitch/policy/reading.py
@@ -4,7 +4,7 @@
 
 from .members import Member, MemberState
 
-__all__ = ["ReadingState", "is_current", "sources"]
+__all__ = ["READERS", "ReadingState", "is_current", "sources"]
 
 READERS = 2
 HEAR_FIRST_S = 0.3
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -22,9 +22,7 @@
     def add(self, name):
         own = Member(name, 1, 0, "n", "n1", "", name, int(MemberState.SERVING))
         location = Location("n", "n1", {"n1": "n"})
-        state = GatewayState(
-            location, Bounds(), MemberTable(own), lambda: self.now_s
-        )
+        state = GatewayState(location, Bounds(), MemberTable(own), lambda: self.now_s)
         fleet = Fleet(state, (), lambda: self.now_s)
         fleet.socket.send = lambda addresses, message: self.send(
             name, addresses, message
