--- a/src/chervilpitch/policy/placement.py
+++ b/src/chervilpitch/policy/placement.py
@@ -20,9 +20,16 @@
     RequestKind.UNSAFE: 2.5,
     RequestKind.UPLOAD: 2.5,
 }
-SAME_REGION_COST_S = 0.02
-ELSEWHERE_COST_S = 0.10
-UPLOAD_DISTANCE_FACTOR = 3.0
+SAME_REGION_COSTS_S = {
+    RequestKind.SAFE: 0.02,
+    RequestKind.UNSAFE: 0.02,
+    RequestKind.UPLOAD: 0.04,
+}
+ELSEWHERE_COSTS_S = {
+    RequestKind.SAFE: 0.12,
+    RequestKind.UNSAFE: 0.12,
+    RequestKind.UPLOAD: 1.0,
+}
 LOAD_COST_S = 0.02
 JITTER_S = 0.02
 SCOUT_AFTER_S = 0.8
@@ -212,8 +219,8 @@
         domain = state.entry.failure_domain
         if domain == self._location.failure_domain:
             return 0.0
-        cost_s = SAME_REGION_COST_S if self._is_near(state) else ELSEWHERE_COST_S
-        return cost_s * (UPLOAD_DISTANCE_FACTOR if kind is RequestKind.UPLOAD else 1)
+        costs_s = SAME_REGION_COSTS_S if self._is_near(state) else ELSEWHERE_COSTS_S
+        return costs_s[kind]
 
     def _is_near(self, state):
         region = self._location.region_of.get(state.entry.failure_domain)
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -88,6 +88,14 @@
     assert chosen(table, now_s=10.01) == "far"
 
 
+def test_an_upload_stays_near_where_another_request_would_go_far():
+    table = table_of(entry("far", "s1"), entry("near", "n1"))
+    for number in range(8):
+        table.get("near").begin(number, LatencyBaseline(0.8), 9.95)
+    assert chosen(table, RequestKind.UNSAFE) == "far"
+    assert chosen(table, RequestKind.UPLOAD) == "near"
+
+
 def test_a_cold_upstream_is_avoided():
     table = table_of(entry("cold", cold_for_s=3.0), entry("warm"))
     assert chosen(table, now_s=1.0) == "warm"
