Hold removed upstreams only after a real gap in what the store tells

The gap is now the time between two proofs. Ruled out: missed changes (checksums were in place), slow readers (the removal was known and held).

--- a/src/chervilpitch/policy/freshness.py
+++ b/src/chervilpitch/policy/freshness.py
@@ -6,7 +6,7 @@
 
 TRANSIT_S = 0.3
 DENIAL_MARGIN_S = 0.8
-GAP_S = 2.0
+GAP_S = 2.5
 
 
 class FreshnessLimits(NamedTuple):
@@ -44,6 +44,7 @@
     def __init__(self, limits: FreshnessLimits):
         self._limits = limits
         self._proved_at_s: float | None = None
+        self._heard_at_s: float | None = None
         self._regained_at_s = float("-inf")
 
     @property
@@ -68,8 +69,9 @@
         """
         if self._proved_at_s is not None and at_s <= self._proved_at_s:
             return False
-        if self.age_s(now_s) > GAP_S:
+        if self._heard_at_s is not None and now_s - self._heard_at_s > GAP_S:
             self._regained_at_s = now_s
+        self._heard_at_s = now_s
         self._proved_at_s = at_s
         return True
 
