--- a/src/chervilpitch/policy/replica.py
+++ b/src/chervilpitch/policy/replica.py
@@ -48,10 +48,6 @@
             self._digest = zlib.crc32(repr(words).encode())
         return self._digest
 
-    def get(self, key: str) -> StoreItem | None:
-        """Return an item that is there."""
-        return self._items.get(key)
-
     def change(self, items: Iterable[StoreItem], revision: int) -> tuple[str, ...]:
         """Take in changes up to a revision and return the keys that changed."""
         changed = tuple(item.key for item in items if self._put(item))
--- a/src/chervilpitch/settings/gateway.py
+++ b/src/chervilpitch/settings/gateway.py
@@ -1,6 +1,5 @@
 """Settings of an instance of the gateway."""
 
-import pathlib
 from typing import Annotated
 
 from pydantic import AfterValidator, Field, ValidationError
@@ -8,7 +7,7 @@
 
 from chervilpitch import platform
 
-from .load import SettingsProblem, read_sections, to_problem
+from .load import SettingsProblem, read_file, read_sections, to_problem
 from .schema import Address, LogSettings, Section
 
 __all__ = ["GatewaySettings", "load_gateway"]
@@ -106,12 +105,11 @@
     Result
         The settings, or every problem found.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        problem = SettingsProblem(path, "", "", str(error), "a readable UTF-8 file")
-        return Err((problem,))
-    return read_sections(text, path).and_then(lambda tree: _validate(tree, path))
+    return (
+        read_file(path)
+        .and_then(lambda content: read_sections(content, path))
+        .and_then(lambda tree: _validate(tree, path))
+    )
 
 
 def _validate(tree, path):
--- a/src/chervilpitch/settings/load.py
+++ b/src/chervilpitch/settings/load.py
@@ -13,6 +13,7 @@
     "SettingsProblem",
     "load",
     "parse",
+    "read_file",
     "read_secret",
     "read_sections",
     "to_problem",
@@ -63,12 +64,16 @@
     Result
         The settings, or every problem found.
     """
+    return read_file(path).and_then(lambda content: parse(content, path))
+
+
+def read_file(path: str) -> Result[bytes, tuple[SettingsProblem, ...]]:
+    """Return the bytes of a settings file, or why it cannot be read."""
     try:
-        content = pathlib.Path(path).read_bytes()
+        return Ok(pathlib.Path(path).read_bytes())
     except OSError as error:
         problem = SettingsProblem(path, "", "", str(error.strerror), "a readable file")
         return Err((problem,))
-    return parse(content, path)
 
 
 def parse(
@@ -93,6 +98,13 @@
     >>> parse(b"[instance]").is_err()
     True
     """
+    return read_sections(content, file).and_then(lambda tree: _validate(tree, file))
+
+
+def read_sections(
+    content: bytes, file: str
+) -> Result[dict[str, dict[str, str]], tuple[SettingsProblem, ...]]:
+    """Return the options of each section, or every problem with the INI text."""
     if len(content) > MAX_SETTINGS_BYTES:
         seen = f"{len(content)} bytes"
         allowed = f"at most {MAX_SETTINGS_BYTES} bytes"
@@ -102,7 +114,7 @@
     except UnicodeDecodeError as error:
         seen = f"byte {error.start} is not UTF-8"
         return Err((SettingsProblem(file, "", "", seen, "UTF-8 text"),))
-    return read_sections(text, file).and_then(lambda tree: _validate(tree, file))
+    return _parse_sections(text, file)
 
 
 def read_secret(settings: Settings) -> Result[bytes, SettingsProblem]:
@@ -133,10 +145,9 @@
     return Ok(secret)
 
 
-def read_sections(
+def _parse_sections(
     text: str, file: str
 ) -> Result[dict[str, dict[str, str]], tuple[SettingsProblem, ...]]:
-    """Return the options of each section, or every problem with the INI text."""
     parser = configparser.ConfigParser(interpolation=None, default_section="\0")
     try:
         parser.read_string(text, file)
--- /dev/null
+++ b/tests/settings/test_gateway.py
@@ -0,0 +1,68 @@
+"""Settings of an instance of the gateway, and every problem with them."""
+
+import pathlib
+
+from chervilpitch.settings import load_gateway
+
+EXAMPLE = pathlib.Path(__file__).parents[2] / "examples" / "gateway" / "front-1.ini"
+
+
+def changed(tmp_path, *changes):
+    """Return the path of the example with some texts replaced."""
+    text = EXAMPLE.read_text()
+    for before, after in changes:
+        assert before in text
+        text = text.replace(before, after)
+    path = tmp_path / "settings.ini"
+    path.write_text(text)
+    return str(path)
+
+
+def test_the_example_is_read():
+    settings = load_gateway(str(EXAMPLE)).unwrap()
+    assert settings.instance.failure_domain == "multan"
+    assert settings.region_of["karachi"] == "sindh"
+    assert settings.seeds == ("10.1.0.5:7660", "10.2.0.3:7660")
+    assert settings.limits.revocation_s == 5.0
+
+
+def test_no_seeds_and_no_bounds_are_fine(tmp_path):
+    path = changed(
+        tmp_path,
+        ("seeds = 10.1.0.5:8407,10.2.0.3:8407", "seeds ="),
+        (
+            "values = drain=2000ms,grace=6s,config_apply=2000ms,revoke=5000ms",
+            "values =",
+        ),
+    )
+    settings = load_gateway(path).unwrap()
+    assert settings.seeds == ()
+    assert settings.limits.stop_s == 6.0
+
+
+def test_every_problem_is_listed(tmp_path):
+    path = changed(
+        tmp_path,
+        ("name = front-1\n", ""),
+        ("peers-port = 7660", "peers-port = 99999"),
+        ("address = 10.200.1.7:8408", "address = store"),
+    )
+    problems = load_gateway(path).unwrap_err()
+    assert {(item.section, item.option) for item in problems} == {
+        ("instance", "name"),
+        ("listen", "peers-port"),
+        ("store", "address"),
+    }
+
+
+def test_a_bound_that_cannot_be_read_is_a_problem(tmp_path):
+    path = changed(tmp_path, ("grace=6s", "grace=soon"))
+    (problem,) = load_gateway(path).unwrap_err()
+    assert problem.seen == "grace=soon"
+
+
+def test_a_file_that_is_not_there_or_no_text_is_a_problem(tmp_path):
+    assert load_gateway(str(tmp_path / "none.ini")).is_err()
+    path = tmp_path / "bytes.ini"
+    path.write_bytes(b"\xff\xfe")
+    assert load_gateway(str(path)).is_err()
