Mint an account's rate anew only after homes of an older table have ended

Cause of the known red test (412 tokens over the bucket in 40 s): witnesses renewed a seat that their own table no longer had, and a gained home minted at once, so that the homes of both tables minted together. Beside it a second fault: each change of the table emptied the copies of all buckets, which were then rebuilt as full, also where the homes of the account had not changed.

Now a witness promises no seat that its table lacks; an account whose homes have changed is minted after the withdrawn seat's tenure and loans are over (6 s); buckets of unchanged homes stay. Ruled out: keeping the table before in the catalogue, which needs a change of the note's format. Price: an account whose homes move is refused for up to 6 s.

--- a/src/chervilpitch/limits/state.py
+++ b/src/chervilpitch/limits/state.py
@@ -8,13 +8,16 @@
 from .borrowing import BORROWED_SPAN_S, Borrowing
 from .bucket import MAX_CLOCK_DRIFT, Bucket
 from .homes import HOMES_PER_REGION, SeatGroups, group_seats, home_seats
-from .tenure import Tenure
+from .tenure import WITNESS_TERM_S, Tenure
 
 __all__ = ["LENT_SPAN_S", "LimitState", "PendingRequest"]
 
 LENT_SPAN_S = BORROWED_SPAN_S * (1 + 3 * MAX_CLOCK_DRIFT)
 """How long a giver keeps the room of a loan, from the receipt of the request."""
 
+SUPERSEDED_SPAN_S = WITNESS_TERM_S + LENT_SPAN_S
+"""How long a seat that is no longer declared may mint, and its loans last."""
+
 AVOIDED_S = 1.0
 FORGET_INTERVAL_S = 1.0
 UNANSWERED_LIMIT = 3
@@ -41,6 +44,21 @@
     is_late: bool = False
 
 
+class SeatMove(NamedTuple):
+    """A change of the declared seats.
+
+    Parameters
+    ----------
+    at_s : float
+        Monotonic time in seconds at which it came into force here.
+    groups : mapping
+        Seats of each region before it.
+    """
+
+    at_s: float
+    groups: SeatGroups
+
+
 class LimitState:
     """Seat, buckets and loans of one instance.
 
@@ -67,6 +85,7 @@
         self._catalogue: Catalogue = EMPTY_CATALOGUE
         self._holders: dict[int, tuple[str, ...]] = {}
         self._groups: SeatGroups = {}
+        self._moves: list[SeatMove] = []
         self._homes: dict[str, tuple[int, ...]] = {}
         self._buckets: dict[str, Bucket] = {}
         self._buckets_since_s: float | None = None
@@ -204,9 +223,7 @@
             self._settle_buckets(catalogue, now_s)
         self._catalogue = catalogue
         if catalogue.seats != before.seats:
-            self._groups = group_seats(catalogue.seats)
-            self._homes.clear()
-            self._buckets.clear()
+            self._move_seats(catalogue.seats, now_s)
             self._tenure.follow_seats(catalogue.seats)
         for name in list(self._borrowings):
             if name not in catalogue.accounts:
@@ -228,9 +245,41 @@
                 del self._borrowings[name]
                 self._homes.pop(name, None)
 
+    def _move_seats(self, seats: Mapping[int, str], now_s: float) -> None:
+        """Follow the declared seats; only buckets of unmoved homes stay."""
+        recent = [move for move in self._moves if now_s - move.at_s < SUPERSEDED_SPAN_S]
+        if self._groups:
+            recent.append(SeatMove(now_s, self._groups))
+        self._moves = recent
+        before = {name: self.homes(name) for name in self._buckets}
+        self._groups = group_seats(seats)
+        self._homes.clear()
+        for name, homes in before.items():
+            if self.homes(name) != homes:
+                del self._buckets[name]
+
     def _minting_from_s(self, account: str) -> float:
         since_s = self._tenure.held_since_s + LENT_SPAN_S
-        return max(since_s, self._empty_at_s.get(account, since_s))
+        moved_s = self._homes_moved_at_s(account) + SUPERSEDED_SPAN_S
+        return max(since_s, moved_s, self._empty_at_s.get(account, since_s))
+
+    def _homes_moved_at_s(self, account: str) -> float:
+        """Return when the homes of an account last changed.
+
+        A home of before that doesn't know of the change mints until its tenure
+        ends, which witnesses that do know it no longer renew, and its loans end
+        after that.
+        """
+        homes = self.homes(account)
+        per_region = self._homes_per_region
+        return max(
+            (
+                move.at_s
+                for move in self._moves
+                if home_seats(account, move.groups, per_region) != homes
+            ),
+            default=float("-inf"),
+        )
 
     def _is_refilled(self, account_name: str, elapsed_s: float) -> bool:
         account = self._catalogue.accounts.get(account_name)
--- a/src/chervilpitch/limits/tenure.py
+++ b/src/chervilpitch/limits/tenure.py
@@ -171,8 +171,8 @@
         made = self._promises.get(claim.seat)
         valid = made is not None and now_s < made.until_s
         taken = valid and made.incarnation != incarnation
-        own_seat = claim.seat == self._seat
-        granted = not taken and not own_seat and self._may_promise(now_s)
+        grantable = claim.seat != self._seat and claim.seat in self._seats
+        granted = not taken and grantable and self._may_promise(now_s)
         if granted:
             until_s = now_s + WITNESS_TERM_S
             self._promises[claim.seat] = SeatPromise(incarnation, until_s)
--- a/tests/limits/test_catalogue_changes.py
+++ b/tests/limits/test_catalogue_changes.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from chervilpitch.limits import admit
+from chervilpitch.limits import admit, group_seats, home_seats
+from chervilpitch.limits.homes import HOMES_PER_REGION
+from chervilpitch.limits.witnesses import witness_seats
 from chervilpitch.model import ClientAccount, RefusalKind
 from tests.limits.fleet import Fleet, catalogue_of, overshoot, seat_table
 
@@ -81,3 +83,52 @@
             fleet.put_in_force(node, catalogue_of((FAST,), moved, 2))
     fleet.run(40, press)
     assert overshoot(fleet.admitted, FAST) == 0
+
+
+def test_a_seat_added_elsewhere_fills_no_bucket():
+    fleet = started(FAST)
+    homes = fleet.nodes["n0"].state.homes("fitters")
+    fleet.run(3, press)
+    for number in range(100, 140):
+        added = SEATS | {number: SEATS[0]}
+        catalogue = catalogue_of((FAST,), added, 2)
+        if homes_with(catalogue) == homes:
+            break
+    for node in fleet.nodes.values():
+        fleet.put_in_force(node, catalogue)
+    fleet.run(10, press)
+    assert homes_with(catalogue) == homes
+    assert overshoot(fleet.admitted, FAST) == 0
+
+
+def test_seats_declared_anew_twice_do_not_overshoot():
+    fleet = started(FAST)
+    moved = dict(SEATS)
+    homes = fleet.nodes["n0"].state.homes("fitters")
+    del moved[homes[0]]
+    again = moved | {100: moved[homes[1]]}
+    for revision, seats in ((2, moved), (3, again)):
+        for node in fleet.nodes.values():
+            if node.seat != homes[0]:
+                fleet.put_in_force(node, catalogue_of((FAST,), seats, revision))
+        fleet.run(1, press)
+    fleet.run(30, press)
+    assert overshoot(fleet.admitted, FAST) == 0
+
+
+def test_a_withdrawn_seat_whose_witnesses_keep_the_old_table_does_not_overshoot():
+    fleet = started(FAST)
+    moved = dict(SEATS)
+    home = fleet.nodes["n0"].state.homes("fitters")[0]
+    del moved[home]
+    behind = {home, *witness_seats(home, SEATS)}
+    for node in fleet.nodes.values():
+        if node.seat not in behind:
+            fleet.put_in_force(node, catalogue_of((FAST,), moved, 2))
+    fleet.run(40, press)
+    assert overshoot(fleet.admitted, FAST) == 0
+
+
+def homes_with(catalogue):
+    groups = group_seats(catalogue.seats)
+    return home_seats("fitters", groups, HOMES_PER_REGION)
