Start the gateway without loading the command line

Cause: gateway/__main__ took its exit codes from the command line's package, which loads the whole first interface (cheroot, urllib3, cleo). Exit codes are a module of their own now.

--- a/src/chervilpitch/cli/fleet.py
+++ b/src/chervilpitch/cli/fleet.py
@@ -10,9 +10,9 @@
 from urllib3.exceptions import HTTPError
 
 from chervilpitch.errors import PeerError
+from chervilpitch.exits import ExitCode
 from chervilpitch.pipeline.application import ADDRESS_PATH
 
-from .exits import ExitCode
 from .output import JSON_OPTION, print_json, print_table
 
 __all__ = ["AddressCommand", "StatusCommand", "fetch_json"]
--- a/src/chervilpitch/cli/notes.py
+++ b/src/chervilpitch/cli/notes.py
@@ -7,9 +7,9 @@
 from result import Err, Ok, Result
 
 from chervilpitch import notes
+from chervilpitch.exits import ExitCode
 from chervilpitch.model import EMPTY_CATALOGUE, Catalogue
 
-from .exits import ExitCode
 from .output import JSON_OPTION, print_json, print_problems
 
 __all__ = ["CheckCommand", "DiffCommand"]
--- a/src/chervilpitch/cli/serve.py
+++ b/src/chervilpitch/cli/serve.py
@@ -4,10 +4,10 @@
 from cleo.helpers import argument, option
 
 from chervilpitch import settings
+from chervilpitch.exits import ExitCode
 from chervilpitch.gateway.process import run_gateway
 from chervilpitch.runtime.instance import serve
 
-from .exits import ExitCode
 from .output import JSON_OPTION, print_problems
 
 __all__ = ["GatewayCommand", "ServeCommand", "SettingsCommand"]
--- a/src/chervilpitch/cli/timeline.py
+++ b/src/chervilpitch/cli/timeline.py
@@ -10,6 +10,7 @@
 from urllib3.exceptions import HTTPError
 
 from chervilpitch.errors import PeerError
+from chervilpitch.exits import ExitCode
 from chervilpitch.observe import (
     StampedEvent,
     decode_events,
@@ -20,8 +21,6 @@
     render_text,
 )
 
-from .exits import ExitCode
-
 __all__ = ["TimelineCommand"]
 
 TIMEOUT_S = 10.0
--- a/src/chervilpitch/gateway/__main__.py
+++ b/src/chervilpitch/gateway/__main__.py
@@ -4,7 +4,7 @@
 import sys
 
 from chervilpitch import platform
-from chervilpitch.cli.exits import ExitCode
+from chervilpitch.exits import ExitCode
 from chervilpitch.settings import load_gateway
 
 from .process import run_gateway
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -7,7 +7,7 @@
 from cleo.testers.application_tester import ApplicationTester
 
 from chervilpitch.cli import build_application
-from chervilpitch.cli.exits import ExitCode
+from chervilpitch.exits import ExitCode
 from chervilpitch.model import Event
 from chervilpitch.observe import Stamp, StampedEvent, encode_events
 from chervilpitch.transport.admin import AdminApplication, build_admin_server
