Read the store once at the start of each instance

Each instance now lists the upstreams and reads the configuration by itself at once: 2 calls of the store more for each start. Ruled out: reading for a longer time at the start (watches of all instances; 4 calls and more).

--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -142,6 +142,7 @@
             (self._logs.drain, LOG_S),
         )
         loops = [_repeat(step, interval_s) for step, interval_s in steps]
+        loops.append(self._reader.read_at_start())
         loops.append(self._reader.follow_configuration())
         loops.append(self._reader.follow_entries())
         self._tasks = [asyncio.create_task(item) for item in loops]
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -101,6 +101,20 @@
         """Calls of the store so far."""
         return self._calls
 
+    async def read_at_start(self) -> None:
+        """Read everything once, before other instances can be asked.
+
+        The configuration comes last: with it the instance is ready. Where the store gives nothing, the instance waits for what others read.
+        """
+        connection = _StoreConnection(self._address)
+        try:
+            await self._list_entries(connection)
+            await self._read_configuration(connection, 0)
+        except (StoreCallError, ExchangeError, TimeoutError) as error:
+            self._lost(error)
+        finally:
+            connection.close()
+
     async def follow_configuration(self) -> None:
         """Read the configuration while this instance is to; never returns."""
         await self._follow(self._read_configuration)
