Let instances that start together find each other sooner, and read later

Cause: after all were killed, 28 of 36 instances began to read the store 0.3 s after their start: each had heard of nobody yet and ranked itself first. Word of others came at beats of 0.8 s. Now a young instance beats each 0.25 s for 1.2 s and asks one seed at each beat; it decides on reading after 1 s, as it has read once at its start.

--- a/src/chervilpitch/gateway/fleet.py
+++ b/src/chervilpitch/gateway/fleet.py
@@ -31,6 +31,9 @@
 log = part_logger("fleet")
 
 NO_PROOF_S = 1e6
+BEAT_S = 0.8
+YOUNG_FOR_S = 1.2
+YOUNG_BEAT_S = 0.25
 UNANSWERED_S = 0.45
 MOST_BEATS = 16
 GATHER_S = 0.28
@@ -58,6 +61,8 @@
         self._clock = clock
         self._totals = UsageTotals()
         self._told_usage: dict[str, int] = {}
+        self._young_until_s = clock() + YOUNG_FOR_S
+        self._beat_at_s = 0.0
         self._tell_at_s = 0.0
         self._tell_regions_at_s = 0.0
         self._question = 0
@@ -92,8 +97,16 @@
             log.info("Reading changes.", reads=reads, proof_age_s=round(age_s, 2))
 
     def beat(self) -> None:
-        """Tell others that this instance is there, and what it knows of others."""
+        """Tell others that this instance is there, and what it knows of others.
+
+        One that has just started does so more often and asks a seed each time, so
+        that instances that start together find each other.
+        """
         now_s = self._clock()
+        if now_s < self._beat_at_s:
+            return
+        is_young = now_s < self._young_until_s
+        self._beat_at_s = now_s + (YOUNG_BEAT_S if is_young else BEAT_S)
         own = self._members.beat(self._own_state())
         for member in self._members.forget(now_s):
             log.info("Instance forgotten.", instance=member.name)
@@ -105,6 +118,8 @@
             self._send([random.choice(near)], MemberWords(words, False))
         if not near or random.random() < 1 / (4 * len(near)):
             self._socket.send(self._other_seeds(), MemberWords((own,), True))
+        elif is_young:
+            self._socket.send(self._any_seed(), MemberWords((own,), True))
 
     def say_leaving(self) -> None:
         """Tell every instance at once that this one is stopping."""
@@ -280,6 +295,10 @@
         own = self._members.own.peers_address
         return [seed for seed in self._seeds if seed != own]
 
+    def _any_seed(self):
+        seeds = self._other_seeds()
+        return [random.choice(seeds)] if seeds else []
+
     def _send(self, members, message):
         self._socket.send([member.peers_address for member in members], message)
 
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -43,7 +43,7 @@
 BODY_SHARE_OF_MEMORY = 0.25
 BYTES_PER_MB = 1_000_000
 BACKLOG = 1_024
-BEAT_S = 0.8
+BEAT_CHECK_S = 0.1
 LIST_REGIONS_S = 2.0
 TELL_S = 0.1
 ASK_S = 0.3
@@ -133,7 +133,7 @@
 
     def _start_tasks(self):
         steps = (
-            (self._fleet.beat, BEAT_S),
+            (self._fleet.beat, BEAT_CHECK_S),
             (self._fleet.list_to_other_regions, LIST_REGIONS_S),
             (self._tell, TELL_S),
             (self._fleet.decide_reading, READING_S),
--- a/src/chervilpitch/policy/reading.py
+++ b/src/chervilpitch/policy/reading.py
@@ -7,8 +7,8 @@
 __all__ = ["READERS", "ReadingState", "is_current", "sources"]
 
 READERS = 2
-HEAR_FIRST_S = 0.3
-FIRST_ANSWER_S = 1.0
+HEAR_FIRST_S = 1.0
+FIRST_ANSWER_S = 1.6
 UNANSWERED_S = 0.9
 STEP_S = 0.1
 MOST_STEPS = 4
@@ -19,7 +19,8 @@
 class ReadingState:
     """Whether this instance reads the store itself, and for how long.
 
-    The first two of a region do; the others take their answers, and turn to the
+    Each instance reads once when it starts and then waits to hear of others. The
+    first two of a region read on; the others take their answers, and turn to the
     second when the first fails. When neither answers in time the others begin to
     read one after the other, so that the store isn't asked by all of them at once,
     also when all have just started.
