--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -104,7 +104,8 @@
     async def read_at_start(self) -> None:
         """Read everything once, before other instances can be asked.
 
-        The configuration comes last: with it the instance is ready. Where the store gives nothing, the instance waits for what others read.
+        The configuration comes last: with it the instance is ready. Where the store
+        gives nothing, the instance waits for what others read.
         """
         connection = _StoreConnection(self._address)
         try:
