Keep the idle limit out of the test of a frozen instance

Seen once, beside load: RemoteDisconnected on the request after the wake. Traced: the freeze (8 s) and the wait for the note before it together can exceed the idle limit of callers' connections (10 s), so that the kept connection is closed at the wake. With a freeze of 10.5 s the same failure came in one of two trials; one trial with an idle limit of 60 s passed. The check and the kept connection stay.

--- a/tests/whole/test_fleet_faults.py
+++ b/tests/whole/test_fleet_faults.py
@@ -11,6 +11,7 @@
 from standins.fleet import wait_until
 
 FROZEN_S = 8.0
+IDLE_LIMIT_S = 60.0
 
 
 @pytest.fixture(autouse=True)
@@ -20,8 +21,11 @@
 
 
 def test_a_frozen_instance_wakes_without_serving_a_withdrawn_key(fleet):
+    fleet.stop_instance("instance-2")
+    fleet.start_instance("instance-2", stall_timeout_s=IDLE_LIMIT_S)
     fleet.wait_for_revision(fleet.publish_note(notes.key("frozen", "fitters")))
     victim = fleet.places["instance-2"]
+    wait_until_served(fleet, victim.callers)
     caller = CallerStandIn("frozen")
     assert caller.send(victim.callers, "/catalogue/1").status == 200
     fleet.process("instance-2").send_signal(signal.SIGSTOP)
