Mend what a newcomer stumbles over in the gateway

Nothing read ClientConnection.exchanges, Freshness.proved_at_s and Choice.is_scout; LatencyBaseline.age_at served only the load model, which has it now. Both decoders of the store's values caught the same errors in the same way: one decode_json. Names of counters were made in two places and taken apart in a third: source_of and incarnation_of stand together. No behaviour changes.

--- a/src/chervilpitch/gateway/fleet.py
+++ b/src/chervilpitch/gateway/fleet.py
@@ -20,6 +20,7 @@
     RegionUsage,
     StateAnswer,
     StateQuestion,
+    source_of,
 )
 from .peers import PeerSocket
 from .rates import RateSharing
@@ -137,7 +138,7 @@
     def tell_other_regions(self) -> None:
         """Tell other regions what this one admits, if this instance ranks first."""
         now_s = self._clock()
-        if now_s < self._tell_regions_at_s and not self._rates.is_low():
+        if now_s < self._tell_regions_at_s and not self._rates.is_any_low():
             return
         self._tell_regions_at_s = now_s + REGIONS_S
         own = self._members.own
@@ -145,7 +146,7 @@
         if ranked[0].name != own.name:
             return
         usages = self._rates.of_region()
-        source = f"{own.name}:{own.incarnation}"
+        source = source_of(own.name, own.incarnation)
         for members in self._members.elsewhere(now_s).values():
             if usages:
                 self._send(members[:1], RegionUsage(source, usages))
@@ -215,9 +216,9 @@
     @_receive.register
     def _(self, message: Evidence, datagram, address):
         now_s = self._clock()
-        source = f"{datagram.sender}:{datagram.incarnation}"
+        source = source_of(datagram.sender, datagram.incarnation)
         self._state.upstreams.hear(message.upstreams, source, now_s)
-        self._rates.take_instance(source, datagram.incarnation, message.usages)
+        self._rates.take_instance(source, message.usages)
 
     @_receive.register
     def _(self, message: RegionUsage, datagram, address):
--- a/src/chervilpitch/gateway/http_client.py
+++ b/src/chervilpitch/gateway/http_client.py
@@ -105,12 +105,6 @@
         self._is_ended = False
         self._is_broken = False
         self._is_reusable = False
-        self._exchanges = 0
-
-    @property
-    def exchanges(self) -> int:
-        """Exchanges that were begun on this connection."""
-        return self._exchanges
 
     @property
     def is_reusable(self) -> bool:
@@ -164,7 +158,6 @@
         ExchangeError
             No whole answer came. The request may have run.
         """
-        self._exchanges += 1
         try:
             self._begin(request)
             self._transport.write(self._encoded(request))
--- a/src/chervilpitch/gateway/messages.py
+++ b/src/chervilpitch/gateway/messages.py
@@ -11,9 +11,40 @@
     "RegionUsage",
     "StateAnswer",
     "StateQuestion",
+    "incarnation_of",
+    "source_of",
 ]
 
 
+def source_of(instance: str, incarnation: int) -> str:
+    """Return the name of an incarnation's counters.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    incarnation : int
+        Unix millisecond of its start.
+
+    Examples
+    --------
+    >>> source_of("front-1", 1700000000000)
+    'front-1:1700000000000'
+    """
+    return f"{instance}:{incarnation}"
+
+
+def incarnation_of(source: str) -> int:
+    """Return the Unix millisecond of the start of the instance that counts.
+
+    Raises
+    ------
+    ValueError
+        The name was not made by :func:`source_of`.
+    """
+    return int(source.rpartition(":")[2])
+
+
 class MemberWords(NamedTuple):
     """What the sender knows of instances, its own word first.
 
@@ -50,7 +81,8 @@
     Parameters
     ----------
     source : str
-        Who has added up the counts; a new adder begins anew.
+        Incarnation that has added up the counts, as :func:`source_of` names it; a
+        new one begins anew.
     usages : tuple of AccountUsage
         Client accounts and counts.
     """
--- a/src/chervilpitch/gateway/rates.py
+++ b/src/chervilpitch/gateway/rates.py
@@ -2,6 +2,7 @@
 
 from chervilpitch.policy import AccountUsage, UsageTotals
 
+from .messages import incarnation_of
 from .state import GatewayState
 
 __all__ = ["RateSharing"]
@@ -29,21 +30,17 @@
         self._told: dict[str, int] = {}
         self._started_at_s = clock()
 
-    def take_instance(
-        self, source: str, incarnation: int, usages: tuple[AccountUsage, ...]
-    ) -> None:
+    def take_instance(self, source: str, usages: tuple[AccountUsage, ...]) -> None:
         """Take in what an instance of the region has admitted.
 
         Parameters
         ----------
         source : str
-            The instance and its incarnation.
-        incarnation : int
-            Unix millisecond of its start.
+            The incarnation, as :func:`source_of` names it.
         usages : tuple of AccountUsage
             Its counters.
         """
-        began_after = self._began_after(incarnation)
+        began_after = self._began_after(source)
         self._totals.add(source, usages, began_after)
         self._take(source, usages, began_after)
 
@@ -56,13 +53,12 @@
         Parameters
         ----------
         source : str
-            The instance that has added up the counters, and its incarnation.
+            The incarnation that has added up the counters.
         usages : tuple of AccountUsage
             The region's counters.
         """
         is_young = self._clock() < self._started_at_s + COUNTERS_YOUNG_FOR_S
-        incarnation = int(source.rpartition(":")[2])
-        self._take(source, usages, is_young and self._began_after(incarnation))
+        self._take(source, usages, is_young and self._began_after(source))
 
     def changed(self) -> tuple[AccountUsage, ...]:
         """Return own counters that have changed since they were told last."""
@@ -84,7 +80,7 @@
             for name in sorted(names)
         )
 
-    def is_low(self) -> bool:
+    def is_any_low(self) -> bool:
         """Return whether other regions should know of each admission at once."""
         now_s = self._clock()
         return any(bucket.is_low(now_s) for bucket in self._state.buckets.values())
@@ -97,9 +93,10 @@
             for name, bucket in self._state.buckets.items()
         )
 
-    def _began_after(self, incarnation) -> bool:
+    def _began_after(self, source) -> bool:
         """Return whether an instance started when this one did, or later."""
-        return incarnation >= self._members.own.incarnation - START_TOLERANCE_MS
+        earliest = self._members.own.incarnation - START_TOLERANCE_MS
+        return incarnation_of(source) >= earliest
 
     def _take(self, source, usages, began_after):
         now_s = self._clock()
--- a/src/chervilpitch/platform/configuration.py
+++ b/src/chervilpitch/platform/configuration.py
@@ -1,10 +1,9 @@
 """Decodes the configuration that operators publish."""
 
 import hashlib
-import json
 from typing import Any
 
-from result import Err, Ok, Result
+from result import Result
 
 from chervilpitch.model import (
     AccountQuota,
@@ -15,7 +14,7 @@
     WeightedService,
 )
 
-from .units import DecodeError, seconds
+from .units import DecodeError, decode_json, seconds
 
 __all__ = ["decode_configuration"]
 
@@ -37,10 +36,7 @@
     Result
         The configuration, or why it cannot be read.
     """
-    try:
-        return Ok(_configuration(json.loads(content)))
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        return Err(DecodeError(f"{type(error).__name__}: {error}"))
+    return decode_json(content, _configuration)
 
 
 def _configuration(body: dict[str, Any]) -> Configuration:
--- a/src/chervilpitch/platform/entries.py
+++ b/src/chervilpitch/platform/entries.py
@@ -1,14 +1,13 @@
 """Decodes what upstreams write about themselves in the store."""
 
-import json
 import math
 from typing import Any
 
-from result import Err, Ok, Result
+from result import Result
 
 from chervilpitch.model import UpstreamEntry
 
-from .units import DecodeError, seconds
+from .units import DecodeError, decode_json, seconds
 
 __all__ = ["CONFIGURATION_KEY", "ENTRY_PREFIX", "decode_entry"]
 
@@ -33,10 +32,8 @@
     Result
         The upstream, or why the entry names none.
     """
-    try:
-        return Ok(_entry(key.removeprefix(ENTRY_PREFIX), json.loads(content)))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return Err(DecodeError(f"{type(error).__name__}: {error}"))
+    name = key.removeprefix(ENTRY_PREFIX)
+    return decode_json(content, lambda body: _entry(name, body))
 
 
 def _entry(name: str, body: dict[str, Any]) -> UpstreamEntry:
--- a/src/chervilpitch/policy/directory.py
+++ b/src/chervilpitch/policy/directory.py
@@ -4,7 +4,7 @@
 
 from .members import Member, MemberState
 
-__all__ = ["MOST_ADDRESSES", "addresses_for"]
+__all__ = ["addresses_for"]
 
 MOST_ADDRESSES = 64
 ENOUGH = 2
--- a/src/chervilpitch/policy/freshness.py
+++ b/src/chervilpitch/policy/freshness.py
@@ -52,11 +52,6 @@
         """Monotonic time in seconds at which proofs came again after a gap."""
         return self._regained_at_s
 
-    @property
-    def proved_at_s(self) -> float | None:
-        """Monotonic time in seconds for which the newest proof holds."""
-        return self._proved_at_s
-
     def prove(self, at_s: float, now_s: float) -> bool:
         """Take in a proof and return whether it is newer than the one before.
 
--- a/src/chervilpitch/policy/latency.py
+++ b/src/chervilpitch/policy/latency.py
@@ -69,17 +69,6 @@
         heavy = self._tail(age_s / TAIL_FACTOR)
         return (1 - TAIL_SHARE) * body + TAIL_SHARE * heavy
 
-    def age_at(self, survival: float) -> float:
-        """Return the age in seconds that this share of good answers exceeds."""
-        low_s, high_s = 0.0, self.median_s * 20
-        for _ in range(20):
-            middle_s = (low_s + high_s) / 2
-            if self.survival(middle_s) > survival:
-                low_s = middle_s
-            else:
-                high_s = middle_s
-        return high_s
-
     def _tail(self, age_s):
         sigma = max(LEAST_SIGMA, math.sqrt(self._variance))
         score = (math.log(age_s) - self._mu) / (sigma * math.sqrt(2))
--- a/src/chervilpitch/policy/placement.py
+++ b/src/chervilpitch/policy/placement.py
@@ -67,13 +67,10 @@
         The upstream.
     expected_s : float
         Seconds until its answer is expected.
-    is_scout : bool
-        Whether the request is to find out if the upstream works.
     """
 
     upstream: UpstreamState
     expected_s: float
-    is_scout: bool
 
 
 class UpstreamTable:
@@ -162,14 +159,13 @@
         if next(numbers) < SCOUT_SHARES[kind]:
             scouted = self._to_scout(usable, kind, now_s)
             if scouted is not None:
-                expected_s = self._expected_s(scouted, baseline, now_s)
-                return Choice(scouted, expected_s, True)
+                return Choice(scouted, self._expected_s(scouted, baseline, now_s))
         costs = [
             (self._cost_s(state, kind, baseline, now_s) + next(numbers) * JITTER_S, at)
             for at, state in enumerate(usable)
         ]
         best = usable[min(costs)[1]]
-        return Choice(best, self._expected_s(best, baseline, now_s), False)
+        return Choice(best, self._expected_s(best, baseline, now_s))
 
     def hear(
         self, reports: Iterable[UpstreamReport], source: str, now_s: float
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chervilpitch.gateway.messages import source_of
 from chervilpitch.gateway.rates import COUNTERS_YOUNG_FOR_S, RateSharing
 from chervilpitch.gateway.state import GatewayState
 from chervilpitch.model import StoreItem
@@ -51,7 +52,7 @@
     sharing = Sharing()
     sharing.now_s += 1.0
     before = sharing.level()
-    sharing.rates.take_instance(f"a:{incarnation}", incarnation, USED)
+    sharing.rates.take_instance(source_of("a", incarnation), USED)
     assert sharing.level() == pytest.approx(before - lowered)
     assert dict(sharing.rates.of_region())[ACCOUNT] == lowered
 
@@ -61,7 +62,7 @@
     sharing = Sharing()
     sharing.now_s += age_s
     before = sharing.level()
-    sharing.rates.take_region(f"b:{OWN_START_MS}", USED)
+    sharing.rates.take_region(source_of("b", OWN_START_MS), USED)
     assert sharing.level() == pytest.approx(before - lowered)
 
 
--- a/tests/policy/load_model.py
+++ b/tests/policy/load_model.py
@@ -98,7 +98,19 @@
         self.table.get(name).given_up(number, now_s)
 
     def double_after_s(self):
-        return self.baseline.age_at(DOUBLE_SURVIVAL)
+        return age_at(self.baseline, DOUBLE_SURVIVAL)
+
+
+def age_at(baseline, survival):
+    """Return the age in seconds that this share of good answers exceeds."""
+    low_s, high_s = 0.0, baseline.median_s * 20
+    for _ in range(20):
+        middle_s = (low_s + high_s) / 2
+        if baseline.survival(middle_s) > survival:
+            low_s = middle_s
+        else:
+            high_s = middle_s
+    return high_s
 
 
 class NaiveInstance:
