--- a/standins/gateway_demo.py
+++ b/standins/gateway_demo.py
@@ -33,7 +33,7 @@
         instances = [await fleet.start(number) for number in (1, 2, 3)]
         for instance in instances:
             await fleet.wait_ready(instance)
-        print("\nThe users' platform: three instances, one reads the store for all.")
+        print("\nThe users' platform: three instances, two read the store for all.")
         rows = [("all upstreams well", await _requests(instances))]
         fleet.targets[0].behaviour = Behaviour.HANG
         rows.append(("desk-1 hangs", await _requests(instances)))
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -36,7 +36,7 @@
 metrics-port = {metrics}
 
 [fleet]
-seeds = 127.1.0.1:1,127.1.0.2:1
+seeds = {network}.1:1,{network}.2:1
 
 [store]
 address = {store}
@@ -72,6 +72,20 @@
         return [json.loads(line) for line in self.log.read_text().splitlines()]
 
 
+def own_network(process_id):
+    """Return the first three numbers of loopback addresses for one process.
+
+    Ports are the same on all instances, so that fleets of processes that run at the
+    same time need different addresses.
+
+    Examples
+    --------
+    >>> own_network(1), own_network(250)
+    ('127.2.0', '127.1.1')
+    """
+    return f"127.{1 + process_id % 250}.{process_id // 250 % 250}"
+
+
 class GatewayFleet:
     """A store, upstreams and instances that end with the context.
 
@@ -86,6 +100,7 @@
     def __init__(self, directory, bounds="drain=2000ms,grace=3s,revoke=5000ms"):
         self._directory = pathlib.Path(directory)
         self._bounds = bounds
+        self._network = own_network(os.getpid())
         self.store = StoreStandin()
         self.targets = []
         self.instances = {}
@@ -110,12 +125,13 @@
 
     async def start(self, number):
         """Start an instance and return it."""
-        name, host = f"front-{number}", f"127.1.0.{number}"
+        name, host = f"front-{number}", f"{self._network}.{number}"
         path = self._directory / f"{name}.ini"
         path.write_text(
             SETTINGS.format(
                 name=name,
                 host=host,
+                network=self._network,
                 domain="n1" if number % 2 else "n2",
                 callers=CALLERS_PORT,
                 ready=READY_PORT,
