--- a/src/chervilpitch/gateway/codec.py
+++ b/src/chervilpitch/gateway/codec.py
@@ -12,17 +12,20 @@
 
 from .messages import (
     Evidence,
+    InstanceEvidence,
     MemberWords,
     RegionUsage,
+    RelayedEvidence,
     StateAnswer,
     StateQuestion,
 )
 
 __all__ = ["MESSAGE_TYPES", "Datagram", "decode", "encode"]
 
-VERSION = 1
+VERSION = 2
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("gateway.capnp")))
 MAX_MESSAGE_BYTES = 4_194_304
+BYTES_PER_WORD = 8
 COMPRESSION_THRESHOLD_BYTES = 600
 UNCOMPRESSED, COMPRESSED = b"\0", b"\1"
 
@@ -32,6 +35,8 @@
     "regionUsage": RegionUsage,
     "stateQuestion": StateQuestion,
     "stateAnswer": StateAnswer,
+    "instanceEvidence": InstanceEvidence,
+    "relayedEvidence": RelayedEvidence,
 }
 _UNION_FIELDS = {kind: name for name, kind in MESSAGE_TYPES.items()}
 
@@ -61,7 +66,7 @@
         version=VERSION,
         sender=datagram.sender,
         incarnation=datagram.incarnation,
-        body={name: to_plain(datagram.message)},
+        body={name: to_plain(datagram.message, by_column=True)},
     ).to_bytes_packed()
     if len(content) < COMPRESSION_THRESHOLD_BYTES:
         return UNCOMPRESSED + content
@@ -79,10 +84,13 @@
     """
     try:
         fields = SCHEMA.Envelope.from_bytes_packed(
-            _decompressed(payload), traversal_limit_in_words=MAX_MESSAGE_BYTES
+            _decompressed(payload),
+            traversal_limit_in_words=MAX_MESSAGE_BYTES // BYTES_PER_WORD,
         ).to_dict()
+        if fields["version"] != VERSION:
+            return Err(FrameError("UnknownVersion"))
         name, content = next(iter(fields["body"].items()))
-        message = to_typed(MESSAGE_TYPES[name], content)
+        message = to_typed(MESSAGE_TYPES[name], content, by_column=True)
         return Ok(Datagram(fields["sender"], fields["incarnation"], message))
     except (
         capnp.KjException,
@@ -98,5 +106,8 @@
 def _decompressed(payload: bytes) -> bytes:
     if payload[:1] == COMPRESSED:
         inflater = zlib.decompressobj()
-        return inflater.decompress(payload[1:], MAX_MESSAGE_BYTES)
+        content = inflater.decompress(payload[1:], MAX_MESSAGE_BYTES)
+        if not inflater.eof:
+            raise ValueError("the message is cut or larger than the limit")
+        return content
     return payload[1:]
--- a/src/chervilpitch/gateway/gateway.capnp
+++ b/src/chervilpitch/gateway/gateway.capnp
@@ -1,6 +1,7 @@
-# Messages between instances of a gateway. Field numbers never change; new fields and
-# members of the union are added with the next number.
-@0xb6f03c52a19d7e48;
+# Messages between instances of a gateway. Field numbers never change within a version;
+# new fields and members of the union are added with the next number. A list of records
+# is a struct with one list for each field, all of the same length.
+@0xd19a45c07be2f836;
 
 struct Envelope {
   version @0 :UInt16;
@@ -12,69 +13,95 @@
     regionUsage @5 :RegionUsage;
     stateQuestion @6 :StateQuestion;
     stateAnswer @7 :StateAnswer;
+    instanceEvidence @8 :InstanceEvidence;
+    relayedEvidence @9 :RelayedEvidence;
   }
 }
 
-struct Member {
-  name @0 :Text;
-  incarnation @1 :UInt64;
-  beat @2 :UInt32;
-  region @3 :Text;
-  failureDomain @4 :Text;
-  callersAddress @5 :Text;
-  peersAddress @6 :Text;
-  state @7 :UInt8;
+struct Members {
+  name @0 :List(Text);
+  incarnation @1 :List(UInt64);
+  beat @2 :List(UInt32);
+  region @3 :List(Text);
+  failureDomain @4 :List(Text);
+  callersAddress @5 :List(Text);
+  peersAddress @6 :List(Text);
+  state @7 :List(UInt32);
 }
 
 struct MemberWords {
-  members @0 :List(Member);
+  members @0 :Members;
   isReplyWanted @1 :Bool;
 }
 
-struct UpstreamReport {
-  upstream @0 :Text;
-  inFlight @1 :UInt32;
-  lateness @2 :Float32;
-  succeeded @3 :UInt32;
-  failed @4 :UInt32;
-  late @5 :Float32;
+struct UpstreamReports {
+  upstream @0 :List(Text);
+  inFlight @1 :List(UInt32);
+  lateness @2 :List(Float32);
+  succeeded @3 :List(UInt32);
+  failed @4 :List(UInt32);
+  late @5 :List(Float32);
 }
 
-struct AccountUsage {
-  account @0 :Text;
-  admitted @1 :UInt64;
+struct AccountUsages {
+  account @0 :List(Text);
+  admitted @1 :List(UInt64);
 }
 
 struct Evidence {
-  upstreams @0 :List(UpstreamReport);
-  usages @1 :List(AccountUsage);
+  upstreams @0 :UpstreamReports;
+  usages @1 :AccountUsages;
+  isContinued @2 :Bool;
+}
+
+struct InstanceEvidence {
+  upstreams @0 :UpstreamReports;
+  usages @1 :AccountUsages;
+  isContinued @2 :Bool;
+}
+
+struct SourcedEvidence {
+  source @0 :Text;
+  upstreams @1 :UpstreamReports;
+  usages @2 :AccountUsages;
+  isContinued @3 :Bool;
+  isSum @4 :Bool;
+}
+
+struct RelayedEvidence {
+  items @0 :List(SourcedEvidence);
 }
 
 struct RegionUsage {
   source @0 :Text;
-  usages @1 :List(AccountUsage);
+  usages @1 :AccountUsages;
 }
 
-struct StoreItem {
-  key @0 :Text;
-  value @1 :Data;
-  revision @2 :UInt64;
-  isRemoved @3 :Bool;
+struct StoreItems {
+  key @0 :List(Text);
+  value @1 :List(Data);
+  revision @2 :List(UInt64);
+  isRemoved @3 :List(Bool);
 }
 
 struct StateQuestion {
   number @0 :UInt32;
   configurationRevision @1 :UInt64;
   entriesRevision @2 :UInt64;
+  membersDigest @3 :UInt32;
+  isGroupMember @4 :Bool;
 }
 
 struct StateAnswer {
   number @0 :UInt32;
   proofAgeS @1 :Float64;
   configurationRevision @2 :UInt64;
-  configuration @3 :List(StoreItem);
+  configuration @3 :StoreItems;
   entriesRevision @4 :UInt64;
-  entries @5 :List(StoreItem);
+  entries @5 :StoreItems;
   isComplete @6 :Bool;
   entriesDigest @7 :UInt32;
+  membersDigest @8 :UInt32;
+  members @9 :Members;
+  heardShare @10 :Float32;
 }
--- a/src/chervilpitch/gateway/messages.py
+++ b/src/chervilpitch/gateway/messages.py
@@ -7,11 +7,16 @@
 
 __all__ = [
     "Evidence",
+    "InstanceEvidence",
     "MemberWords",
     "RegionUsage",
+    "RelayedEvidence",
+    "SourcedEvidence",
     "StateAnswer",
     "StateQuestion",
+    "group_source_of",
     "incarnation_of",
+    "others_source_of",
     "source_of",
 ]
 
@@ -34,6 +39,42 @@
     return f"{instance}:{incarnation}"
 
 
+def group_source_of(aggregator: str, incarnation: int) -> str:
+    """Return the name under which an aggregator counts the requests of its group.
+
+    Parameters
+    ----------
+    aggregator : str
+        Name of the aggregator.
+    incarnation : int
+        Start time of its process in Unix milliseconds.
+
+    Examples
+    --------
+    >>> group_source_of("front-1", 1700000000000)
+    'front-1/group:1700000000000'
+    """
+    return source_of(f"{aggregator}/group", incarnation)
+
+
+def others_source_of(aggregator: str, incarnation: int) -> str:
+    """Return the name under which an aggregator counts the requests of other groups.
+
+    Parameters
+    ----------
+    aggregator : str
+        Name of the aggregator.
+    incarnation : int
+        Start time of its process in Unix milliseconds.
+
+    Examples
+    --------
+    >>> others_source_of("front-1", 1700000000000)
+    'front-1/others:1700000000000'
+    """
+    return source_of(f"{aggregator}/others", incarnation)
+
+
 def incarnation_of(source: str) -> int:
     """Return the start time of a source's instance in Unix milliseconds.
 
@@ -61,18 +102,80 @@
 
 
 class Evidence(NamedTuple):
-    """The sender's reports on upstreams and its counters of admitted requests.
+    """Sums of an aggregator and its group, sent to the other aggregators.
+
+    Parameters
+    ----------
+    upstreams : tuple of UpstreamReport
+        Sums of the reports on upstreams whose state has changed.
+    usages : tuple of AccountUsage
+        Sums of the counters of admitted requests that have changed.
+    is_continued : bool
+        Whether a part of the counters was counted under another source.
+    """
+
+    upstreams: tuple[UpstreamReport, ...]
+    usages: tuple[AccountUsage, ...]
+    is_continued: bool = False
+
+
+class InstanceEvidence(NamedTuple):
+    """Reports and counters of one instance, sent to its aggregator.
+
+    An empty one keeps the sender in the aggregator's group.
 
     Parameters
     ----------
     upstreams : tuple of UpstreamReport
         Reports on upstreams whose state has changed.
     usages : tuple of AccountUsage
-        Counters of client accounts that have changed.
+        Counters of client accounts that have changed, or all of them in the first
+        message to an aggregator.
+    is_continued : bool
+        Whether an earlier aggregator has already counted a part of the counters.
+    """
+
+    upstreams: tuple[UpstreamReport, ...]
+    usages: tuple[AccountUsage, ...]
+    is_continued: bool
+
+
+class SourcedEvidence(NamedTuple):
+    """Evidence that an aggregator passes on, with its source.
+
+    Parameters
+    ----------
+    source : str
+        Incarnation or sum of incarnations that reports, see :func:`source_of` and
+        :func:`others_source_of`.
+    upstreams : tuple of UpstreamReport
+        Reports on upstreams.
+    usages : tuple of AccountUsage
+        Counters of client accounts.
+    is_continued : bool
+        Whether a part of the counters may have been counted before.
+    is_sum : bool
+        Whether the counters are those of several instances, added up.
     """
 
+    source: str
     upstreams: tuple[UpstreamReport, ...]
     usages: tuple[AccountUsage, ...]
+    is_continued: bool = False
+    is_sum: bool = False
+
+
+class RelayedEvidence(NamedTuple):
+    """All evidence that an aggregator has gathered, sent to its group.
+
+    Parameters
+    ----------
+    items : tuple of SourcedEvidence
+        Evidence of each instance of the group since the previous message, that of
+        the receiver included, and sums for all instances outside the group.
+    """
+
+    items: tuple[SourcedEvidence, ...]
 
 
 class RegionUsage(NamedTuple):
@@ -102,11 +205,18 @@
         Revision at which the sender's configuration was written; 0 for none.
     entries_revision : int
         Revision up to which the sender knows entries; 0 to request all of them.
+    members_digest : int
+        Checksum of the list of members that the sender has received; 0 for none.
+    is_group_member : bool
+        Whether the receiver is the sender's aggregator, so that the list of members
+        is wanted if it has changed.
     """
 
     number: int
     configuration_revision: int
     entries_revision: int
+    members_digest: int = 0
+    is_group_member: bool = False
 
 
 class StateAnswer(NamedTuple):
@@ -130,6 +240,13 @@
         Whether ``entries`` is the complete list.
     entries_digest : int
         Checksum of all entries that the answering instance knows.
+    members_digest : int
+        Checksum of the live members that the answering instance knows; 0 if none
+        were requested.
+    members : tuple of Member
+        These members, if the requesting instance has another list.
+    heard_share : float
+        Share of the region's instances that the answering one heard recently.
     """
 
     number: int
@@ -140,3 +257,6 @@
     entries: tuple[StoreItem, ...]
     is_complete: bool
     entries_digest: int
+    members_digest: int = 0
+    members: tuple[Member, ...] = ()
+    heard_share: float = 0.0
--- a/src/chervilpitch/gateway/peers.py
+++ b/src/chervilpitch/gateway/peers.py
@@ -31,6 +31,8 @@
         self._receive = receive
         self._transport = None
         self._sent_bytes = 0
+        self._sent = 0
+        self._received = 0
         self._malformed = 0
 
     @property
@@ -38,6 +40,16 @@
         """Bytes sent in datagrams so far."""
         return self._sent_bytes
 
+    @property
+    def sent_count(self) -> int:
+        """Number of datagrams sent so far."""
+        return self._sent
+
+    @property
+    def received_count(self) -> int:
+        """Number of datagrams received so far."""
+        return self._received
+
     @property
     def malformed_count(self) -> int:
         """Number of datagrams that could not be decoded so far."""
@@ -47,7 +59,8 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, address) -> None:
-        """Pass a message on; count and log a datagram that can't be decoded."""
+        """Pass a message on; count and log a datagram that can't be handled."""
+        self._received += 1
         decoded = decode(data)
         if decoded.is_err():
             self._malformed += 1
@@ -56,7 +69,11 @@
                 cause=str(decoded.unwrap_err()),
             )
             return
-        self._receive(decoded.unwrap(), f"{address[0]}:{address[1]}")
+        try:
+            self._receive(decoded.unwrap(), f"{address[0]}:{address[1]}")
+        except Exception:
+            self._malformed += 1
+            log.exception("Message of an instance could not be handled; dropped it.")
 
     def error_received(self, error: OSError) -> None:
         """Log an error that the network reports for an earlier datagram."""
@@ -80,6 +97,7 @@
             host, _, port = address.rpartition(":")
             self._transport.sendto(content, (host, int(port)))
             self._sent_bytes += len(content)
+            self._sent += 1
         return True
 
     def close(self) -> None:
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -45,7 +45,7 @@
 LISTEN_BACKLOG = 1_024
 HEARTBEAT_CHECK_INTERVAL_S = 0.1
 REGION_MEMBERS_INTERVAL_S = 2.0
-REPORT_CHECK_INTERVAL_S = 0.1
+REPORT_CHECK_INTERVAL_S = 0.05
 STATE_REQUEST_INTERVAL_S = 0.3
 READER_CHECK_INTERVAL_S = 0.2
 MAINTENANCE_INTERVAL_S = 0.5
@@ -144,7 +144,7 @@
         steps = (
             (self._gossip.send_heartbeat, HEARTBEAT_CHECK_INTERVAL_S),
             (self._gossip.send_members_to_other_regions, REGION_MEMBERS_INTERVAL_S),
-            (self._send_reports, REPORT_CHECK_INTERVAL_S),
+            (self._gossip.send_evidence, REPORT_CHECK_INTERVAL_S),
             (self._gossip.update_reader_role, READER_CHECK_INTERVAL_S),
             (self._gossip.request_state, STATE_REQUEST_INTERVAL_S),
             (self._run_maintenance, MAINTENANCE_INTERVAL_S),
@@ -156,10 +156,6 @@
         coroutines.append(self._reader.watch_entries())
         self._tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
 
-    def _send_reports(self):
-        self._gossip.send_usage_to_other_regions()
-        self._gossip.send_evidence()
-
     def _run_maintenance(self):
         self._caller_server.close_timed_out()
         self._management_server.close_timed_out()
@@ -202,7 +198,10 @@
                 "in_progress": self._state.in_progress,
                 "instances_alive": len(self._members.alive(now_s)),
                 "proof_age_seconds": self._state.freshness.age_s(now_s),
+                "group_size": len(self._gossip.region.group.addresses(now_s)),
                 "peer_bytes_sent": self._gossip.socket.sent_bytes,
+                "peer_datagrams_sent": self._gossip.socket.sent_count,
+                "peer_datagrams_received": self._gossip.socket.received_count,
                 "peer_datagrams_malformed": self._gossip.socket.malformed_count,
                 "store_calls": self._reader.call_count,
                 "upstream_connections_opened": self._pool.opened_count,
--- a/src/chervilpitch/gateway/rates.py
+++ b/src/chervilpitch/gateway/rates.py
@@ -1,6 +1,8 @@
 """Exchange of client accounts' usage counters between instances."""
 
-from chervilpitch.policy import AccountUsage, UsageTotals
+from collections.abc import Iterable
+
+from chervilpitch.policy import AccountUsage, UnsentCounters, UsageTotals
 
 from .messages import incarnation_of
 from .state import GatewayState
@@ -26,14 +28,52 @@
         self._state = state
         self._members = state.members
         self._clock = clock
-        self._totals = UsageTotals()
-        self._sent: dict[str, int] = {}
+        self._group_totals = UsageTotals()
+        self._other_totals = UsageTotals()
+        self._own_unsent = UnsentCounters()
+        self._group_unsent = UnsentCounters()
+        self._others_unsent = UnsentCounters()
+        self._receivers: frozenset[str] = frozenset()
+        self._aggregator = ""
+        self._is_continued = False
+        self._has_moved = False
         self._started_at_s = clock()
 
+    @property
+    def is_continued(self) -> bool:
+        """Whether a part of the counters was counted under another source.
+
+        This is so after a change of the aggregator, or of this instance's own role.
+        """
+        return self._is_continued
+
+    def set_receivers(self, names: Iterable[str], aggregator: str) -> None:
+        """Set who receives the counters; new receivers are to get all of them.
+
+        Parameters
+        ----------
+        names : iterable of str
+            This instance's aggregator, or the other aggregators if it is one itself.
+        aggregator : str
+            Name of this instance's aggregator; empty if it is one itself.
+        """
+        if aggregator != self._aggregator:
+            self._is_continued = self._is_continued or self._own_unsent.has_sent
+            self._has_moved = self._has_moved or not self._is_starting()
+        self._aggregator = aggregator
+        receivers = frozenset(names)
+        if receivers - self._receivers:
+            self._own_unsent.forget_sent()
+            self._group_unsent.forget_sent()
+        self._receivers = receivers
+
     def record_instance_usage(
-        self, source: str, usages: tuple[AccountUsage, ...]
+        self,
+        source: str,
+        usages: tuple[AccountUsage, ...],
+        is_continued: bool = False,
     ) -> None:
-        """Record the counters of an instance in this region.
+        """Record the counters of an instance whose aggregator this one is.
 
         Parameters
         ----------
@@ -41,15 +81,54 @@
             Incarnation that counts, as :func:`source_of` names it.
         usages : tuple of AccountUsage
             Counters of that incarnation.
+        is_continued : bool
+            Whether another aggregator has counted a part of them.
         """
-        started_no_earlier = self._started_no_earlier(source)
-        self._totals.add(source, usages, started_no_earlier)
-        self._record_usage(source, usages, started_no_earlier)
+        is_new = self._started_no_earlier(source) and not is_continued
+        self._group_totals.add(source, usages, is_new)
+        self._record_usage(source, usages, is_new)
 
-    def record_region_usage(
+    def record_aggregate_usage(
+        self, source: str, usages: tuple[AccountUsage, ...], is_continued: bool
+    ) -> None:
+        """Record the counters of another aggregator and its group.
+
+        Parameters
+        ----------
+        source : str
+            Group that counts, as :func:`group_source_of` names it.
+        usages : tuple of AccountUsage
+            Sums of the group's counters.
+        is_continued : bool
+            Whether a part of them was counted under another source.
+        """
+        is_new = self._started_no_earlier(source)
+        is_new = is_new and not is_continued and not self._is_continued
+        self._other_totals.add(source, usages, is_new)
+        self._record_usage(source, usages, is_new)
+
+    def record_relayed_usage(
+        self, source: str, usages: tuple[AccountUsage, ...], is_continued: bool
+    ) -> None:
+        """Record counters of an instance that is in the same group.
+
+        Parameters
+        ----------
+        source : str
+            Incarnation that counts.
+        usages : tuple of AccountUsage
+            Its counters.
+        is_continued : bool
+            Whether a part of them may have been counted under another source.
+        """
+        is_new = self._started_no_earlier(source)
+        is_new = is_new and not is_continued and not self._has_moved
+        self._record_usage(source, usages, is_new)
+
+    def record_summed_usage(
         self, source: str, usages: tuple[AccountUsage, ...]
     ) -> None:
-        """Record the counters of another region.
+        """Record counters of several instances: of a region, or of other groups.
 
         They are charged in full only if both this instance and the source have just
         started: counters of a source that takes over later include requests that an
@@ -58,47 +137,64 @@
         Parameters
         ----------
         source : str
-            Incarnation that added up the counters, as :func:`source_of` names it.
+            Source that added up the counters; see :func:`source_of`.
         usages : tuple of AccountUsage
-            Counters of the region.
+            The sums.
         """
-        is_starting = self._clock() < self._started_at_s + COUNTER_STARTUP_PERIOD_S
-        self._record_usage(
-            source, usages, is_starting and self._started_no_earlier(source)
-        )
+        is_new = self._is_starting() and self._started_no_earlier(source)
+        self._record_usage(source, usages, is_new)
 
     def take_unsent_usage(self) -> tuple[AccountUsage, ...]:
         """Return own counters that changed since the last call, and mark them sent."""
-        changed = tuple(
-            AccountUsage(name, bucket.admitted)
-            for name, bucket in self._state.buckets.items()
-            if bucket.admitted != self._sent.get(name, 0)
-        )
-        self._sent.update(changed)
-        return changed
+        return self._own_unsent.take(self._own_usage())
+
+    def take_unsent_group_usage(self) -> tuple[AccountUsage, ...]:
+        """Return the group's counters that changed since the last call.
+
+        They include this instance's counters, and are marked as sent.
+        """
+        return self._group_unsent.take(self._group_usage())
+
+    def take_unsent_others_usage(self) -> tuple[AccountUsage, ...]:
+        """Return the other groups' counters that changed since the last call."""
+        return self._others_unsent.take(dict(self._other_totals.usages()))
+
+    def send_others_usage_again(self) -> None:
+        """Return all of the other groups' counters at the next call."""
+        self._others_unsent.forget_sent()
 
     def region_usage(self) -> tuple[AccountUsage, ...]:
         """Return the requests admitted in the region, this instance included."""
-        own = {name: bucket.admitted for name, bucket in self._state.buckets.items()}
-        others = dict(self._totals.usages())
-        names = own.keys() | others.keys()
-        return tuple(
-            AccountUsage(name, own.get(name, 0) + others.get(name, 0))
-            for name in sorted(names)
-        )
+        counts = self._group_usage()
+        for account, admitted in self._other_totals.usages():
+            counts[account] = counts.get(account, 0) + admitted
+        return tuple(AccountUsage(*item) for item in sorted(counts.items()))
+
+    def is_low(self, account: str) -> bool:
+        """Return whether a client account's bucket is low."""
+        bucket = self._state.buckets.get(account)
+        return bucket is not None and bucket.is_low(self._clock())
 
     def is_any_bucket_low(self) -> bool:
         """Return whether a bucket is low, so that each admission is to be reported."""
-        now_s = self._clock()
-        return any(bucket.is_low(now_s) for bucket in self._state.buckets.values())
+        return any(self.is_low(account) for account in self._state.buckets)
 
     def is_report_urgent(self) -> bool:
         """Return whether unsent admissions could lead to an exceeded rate."""
-        now_s = self._clock()
-        return any(
-            bucket.is_low(now_s) and bucket.admitted != self._sent.get(name, 0)
-            for name, bucket in self._state.buckets.items()
-        )
+        changed = self._group_unsent.changed(self._group_usage())
+        return any(self.is_low(account) for account in changed)
+
+    def _is_starting(self) -> bool:
+        return self._clock() < self._started_at_s + COUNTER_STARTUP_PERIOD_S
+
+    def _own_usage(self) -> dict[str, int]:
+        return {name: bucket.admitted for name, bucket in self._state.buckets.items()}
+
+    def _group_usage(self) -> dict[str, int]:
+        counts = self._own_usage()
+        for account, admitted in self._group_totals.usages():
+            counts[account] = counts.get(account, 0) + admitted
+        return counts
 
     def _started_no_earlier(self, source) -> bool:
         """Return whether a source started no earlier than this instance.
--- a/src/chervilpitch/gateway/request_path.py
+++ b/src/chervilpitch/gateway/request_path.py
@@ -169,10 +169,16 @@
     def _admit_within_rate(self, route, account: str) -> Result[_Admitted, _Refusal]:
         bucket = self._state.buckets.get(account)
         now_s = self._clock()
-        if bucket is None or bucket.admit(now_s):
+        share = self._state.contact.rate_share(now_s)
+        if bucket is None or bucket.admit(now_s, share):
             return Ok(_Admitted(route, account))
         retry_after_s = bucket.retry_after_s(now_s)
-        log.info("Rate exceeded.", account=account, **bucket.log_fields(now_s))
+        log.info(
+            "Rate exceeded.",
+            account=account,
+            share=round(share, 3),
+            **bucket.log_fields(now_s),
+        )
         return Err(
             _Refusal(RefusalKind.RATE_EXCEEDED, retry_after_s, route.name, account)
         )
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -12,6 +12,7 @@
 )
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
+    Contact,
     FleetBucket,
     Freshness,
     FreshnessLimits,
@@ -69,6 +70,7 @@
             bounds.revocation_s, bounds.configuration_s
         )
         self._freshness = Freshness(limits)
+        self._contact = Contact(clock())
         self._baselines: dict[str, LatencyBaseline] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._buckets: dict[str, FleetBucket] = {}
@@ -107,6 +109,11 @@
         """Age of the proof that the configuration is the newest one."""
         return self._freshness
 
+    @property
+    def contact(self) -> Contact:
+        """Contact with the region and the store."""
+        return self._contact
+
     @property
     def configuration_item(self) -> StoreItem | None:
         """The newest configuration as stored; None before the first one."""
@@ -168,7 +175,9 @@
         proved_at_s : float
             Monotonic time in seconds at which it was the newest one in the store.
         """
-        self._freshness.add_proof(proved_at_s, self._clock())
+        now_s = self._clock()
+        if self._freshness.add_proof(proved_at_s, now_s):
+            self._contact.record_proof(now_s)
         for item in items:
             is_configuration = item.key == platform.CONFIGURATION_KEY
             if is_configuration and item.revision > self.configuration_revision:
--- /dev/null
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -0,0 +1,238 @@
+"""Passing on of the store's state and of the list of members between instances."""
+
+import random
+
+from chervilpitch.observe import part_logger
+from chervilpitch.policy import (
+    READER_COUNT,
+    ReaderElection,
+    is_proof_current,
+    peers_to_query,
+)
+
+from .messages import StateAnswer, StateQuestion
+from .peers import PeerSocket
+from .region import RegionView
+from .state import GatewayState
+
+__all__ = ["StateExchange"]
+
+log = part_logger("fleet")
+
+NO_PROOF_AGE_S = 1e6
+"""Age sent in an answer that carries no proof."""
+ANSWER_TIMEOUT_S = 0.45
+
+
+class _PendingQuestion:
+    """A question without an answer so far."""
+
+    def __init__(self, receiver: str, asked_at_s: float):
+        self.receiver = receiver
+        self.asked_at_s = asked_at_s
+
+
+class StateExchange:
+    """Ask another instance for the store's state, and answer such questions.
+
+    An aggregator asks the instances that read the store. Any other instance asks its
+    aggregator, which also sends it the list of members. If that one is silent, the
+    instance asks two at a time, and keeps the first that answers.
+
+    Parameters
+    ----------
+    state : GatewayState
+        State of this instance.
+    region : RegionView
+        Ranks and roles in the region.
+    election : ReaderElection
+        Election of the readers; told of each current answer.
+    socket : PeerSocket
+        Socket to the other instances.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        region: RegionView,
+        election: ReaderElection,
+        socket: PeerSocket,
+        clock,
+    ):
+        self._state = state
+        self._members = state.members
+        self._region = region
+        self._election = election
+        self._socket = socket
+        self._clock = clock
+        self._last_number = 0
+        self._pending: dict[int, _PendingQuestion] = {}
+        self._source_index = 0
+        self._has_timed_out = False
+        self._needs_all_entries = False
+        self._members_digest = 0
+        self._members_source = ""
+
+    def request(self) -> None:
+        """Request the store's state from another instance."""
+        now_s = self._clock()
+        self._record_timeouts(now_s)
+        aggregator = self._region.aggregator
+        if aggregator is None:
+            heard_share = self._members.heard_share(now_s)
+            self._state.contact.record_members(heard_share, now_s)
+        chosen = aggregator or self._next_source()
+        if chosen is None:
+            return
+        self._ask(chosen, aggregator is not None, now_s)
+        others = [
+            item for item in self._region.other_aggregators if item.name != chosen.name
+        ]
+        if aggregator is not None and self._has_timed_out and others:
+            self._ask(random.choice(others), True, now_s)
+
+    def _ask(self, member, is_group_member, now_s):
+        digest = self._members_digest if member.name == self._members_source else 0
+        self._last_number += 1
+        self._pending[self._last_number] = _PendingQuestion(member.name, now_s)
+        question = StateQuestion(
+            self._last_number,
+            self._state.configuration_revision,
+            0 if self._needs_all_entries else self._state.entry_items.revision,
+            digest,
+            is_group_member,
+        )
+        self._socket.send([member.peers_address], question)
+
+    def receive_question(
+        self, message: StateQuestion, sender: str, address: str
+    ) -> None:
+        """Answer another instance's question."""
+        age_s = self._state.freshness.age_s(self._clock())
+        answer = self._build_answer(message, min(age_s, NO_PROOF_AGE_S))
+        if self._socket.send([address], answer):
+            return
+        log.warning(
+            "State does not fit in a datagram; replying without it.", asked_by=sender
+        )
+        empty = StateAnswer(
+            message.number,
+            NO_PROOF_AGE_S,
+            answer.configuration_revision,
+            (),
+            0,
+            (),
+            False,
+            answer.entries_digest,
+        )
+        self._socket.send([address], empty)
+
+    def receive_answer(self, message: StateAnswer, sender: str) -> None:
+        """Apply the answer to a question of this instance."""
+        pending = self._pending.pop(message.number, None)
+        if pending is None:
+            return
+        self._replace_silent_aggregator(sender)
+        if is_proof_current(message.proof_age_s):
+            self._election.record_answer(pending.asked_at_s)
+        else:
+            self._source_index += 1
+        self._apply_members(message, sender)
+        self._record_contact(message, sender)
+        state = self._state
+        if message.proof_age_s < NO_PROOF_AGE_S:
+            state.apply_configuration_items(
+                message.configuration, pending.asked_at_s - message.proof_age_s
+            )
+        if message.entries_revision:
+            state.apply_entry_items(
+                message.entries, message.entries_revision, message.is_complete
+            )
+            digest = state.entry_items.digest
+            self._needs_all_entries = digest != message.entries_digest
+
+    def _record_timeouts(self, now_s):
+        """Use other sources if questions were not answered in time."""
+        silent = {
+            question.receiver
+            for question in self._pending.values()
+            if now_s - question.asked_at_s > ANSWER_TIMEOUT_S
+        }
+        if not silent:
+            return
+        self._source_index += 1
+        self._has_timed_out = True
+        self._pending.clear()
+        for name in silent:
+            self._region.record_timeout(name)
+
+    def _replace_silent_aggregator(self, sender):
+        """Use the first aggregator that answers after a timeout."""
+        aggregator = self._region.aggregator
+        if self._has_timed_out and aggregator is not None and sender != aggregator.name:
+            self._region.use_aggregator(sender)
+        self._has_timed_out = False
+
+    def _next_source(self):
+        """Return the instance that an aggregator queries for the store's state.
+
+        A timeout or an answer without a current proof advances to the next one: the
+        first ``READER_COUNT`` candidates in turn, then a random one.
+        """
+        candidates = peers_to_query(self._region.ranked, self._members.own)
+        if not candidates:
+            return None
+        index = self._source_index % (READER_COUNT + 1)
+        if index < min(READER_COUNT, len(candidates)):
+            return candidates[index]
+        self._source_index += 1
+        return random.choice(candidates)
+
+    def _apply_members(self, message, sender):
+        now_s = self._clock()
+        if message.members:
+            self._members_source = sender
+            self._members_digest = message.members_digest
+            for member in self._members.apply_relayed(message.members, now_s):
+                log.info(
+                    "Another instance discovered or restarted.", instance=member.name
+                )
+        elif message.members_digest and message.members_digest == self._members_digest:
+            self._members.confirm_relayed(now_s)
+
+    def _record_contact(self, message, sender):
+        aggregator = self._region.aggregator
+        if aggregator is not None and sender == aggregator.name:
+            now_s = self._clock()
+            self._state.contact.record_members(message.heard_share, now_s)
+
+    def _build_answer(self, question, age_s) -> StateAnswer:
+        configuration = self._state.configuration_item
+        is_newer = (
+            configuration is not None
+            and configuration.revision > question.configuration_revision
+        )
+        entries = self._state.entry_items
+        changed = entries.changes_since(question.entries_revision)
+        is_complete = question.entries_revision == 0 or changed is None
+        answer = StateAnswer(
+            question.number,
+            age_s,
+            self._state.configuration_revision,
+            (configuration,) if is_newer else (),
+            entries.revision,
+            entries.items if is_complete else changed,
+            is_complete,
+            entries.digest,
+        )
+        if not question.is_group_member:
+            return answer
+        digest = self._region.known_digest
+        has_changed = digest != question.members_digest
+        return answer._replace(
+            members_digest=digest,
+            members=self._region.known if has_changed else (),
+            heard_share=self._members.heard_share(self._clock()),
+        )
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -20,6 +20,9 @@
 ENTRIES_WATCH_PAUSE_S = 0.5
 READER_ROLE_POLL_INTERVAL_S = 0.15
 RETRY_DELAY_S = 0.3
+DISCOVERY_S = 0.25
+FIRST_ANSWER_TIMEOUT_S = 0.5
+START_POLL_INTERVAL_S = 0.03
 MS_PER_S = 1_000
 WATCH_MISS_WINDOW_S = 1.0
 """A watch may miss changes for this long, so its proof is dated back by as much."""
@@ -102,13 +105,20 @@
         return self._calls
 
     async def read_at_start(self) -> None:
-        """Read the entries and the configuration once at startup.
+        """Obtain the entries and the configuration once at startup.
 
-        Other instances are not known yet, so they can't be queried instead. The
-        configuration is read last, because the instance is ready once it is
-        applied. If the store can't be read, the instance waits for the state that
-        other instances send.
+        An instance that serves already is asked first, so that a restart costs the
+        store nothing. If there is none, the aggregators of the region read the
+        store; the others get the state from them. The configuration is read last,
+        because the instance is ready once it is applied. If the store can't be read,
+        the instance waits for the state that other instances send.
         """
+        await self._wait_until(lambda: self._gossip.has_serving_peer, DISCOVERY_S)
+        if self._gossip.has_serving_peer:
+            self._gossip.request_state()
+            await self._wait_until(self._has_state, FIRST_ANSWER_TIMEOUT_S)
+        if self._has_state() or not self._gossip.region.is_aggregator:
+            return
         connection = _StoreConnection(self._address)
         try:
             await self._list_entries(connection)
@@ -118,6 +128,14 @@
         finally:
             connection.close()
 
+    def _has_state(self) -> bool:
+        return self._state.configuration_revision > 0
+
+    async def _wait_until(self, condition, timeout_s):
+        until_s = self._clock() + timeout_s
+        while not condition() and self._clock() < until_s:
+            await asyncio.sleep(START_POLL_INTERVAL_S)
+
     async def watch_configuration(self) -> None:
         """Read and watch the configuration while this is a reader; never return."""
         await self._watch(self._read_configuration)
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -1,15 +1,30 @@
 """Decision logic of the gateway, without access to clock, network or randomness."""
 
+from .aggregation import (
+    AggregatorSelection,
+    Group,
+    aggregators_of,
+    is_aggregator,
+    preferred_aggregators,
+)
 from .budget import RetryBudget
 from .directory import addresses_for
 from .failure_estimate import FailureEstimate
 from .freshness import Freshness, FreshnessLimits
+from .isolation import Contact, rate_share, share_heard
 from .latency import LatencyBaseline
 from .listing import UpstreamListing
-from .members import OTHER_REGION_ALIVE_S, Member, MemberState, MemberTable
+from .members import (
+    OTHER_REGION_ALIVE_S,
+    Member,
+    MemberState,
+    MemberTable,
+    members_digest,
+    rank,
+)
 from .overload import is_overloaded, retry_after_s
 from .placement import Choice, Location, UpstreamTable
-from .quota import AccountUsage, FleetBucket, UsageTotals
+from .quota import AccountUsage, FleetBucket, UnsentCounters, UsageTotals
 from .reader_election import (
     READER_COUNT,
     ReaderElection,
@@ -17,6 +32,7 @@
     peers_to_query,
 )
 from .replica import ItemReplica
+from .report_totals import ReportTotals
 from .routes import RouteTable, pick_service
 from .upstream_state import UpstreamReport, UpstreamState
 
@@ -24,11 +40,14 @@
     "OTHER_REGION_ALIVE_S",
     "READER_COUNT",
     "AccountUsage",
+    "AggregatorSelection",
     "Choice",
+    "Contact",
     "FailureEstimate",
     "FleetBucket",
     "Freshness",
     "FreshnessLimits",
+    "Group",
     "ItemReplica",
     "LatencyBaseline",
     "Location",
@@ -36,17 +55,26 @@
     "MemberState",
     "MemberTable",
     "ReaderElection",
+    "ReportTotals",
     "RetryBudget",
     "RouteTable",
+    "UnsentCounters",
     "UpstreamListing",
     "UpstreamReport",
     "UpstreamState",
     "UpstreamTable",
     "UsageTotals",
     "addresses_for",
+    "aggregators_of",
+    "is_aggregator",
     "is_overloaded",
     "is_proof_current",
+    "members_digest",
     "peers_to_query",
     "pick_service",
+    "preferred_aggregators",
+    "rank",
+    "rate_share",
     "retry_after_s",
+    "share_heard",
 ]
--- a/src/chervilpitch/policy/placement.py
+++ b/src/chervilpitch/policy/placement.py
@@ -33,6 +33,8 @@
 }
 LOAD_COST_PER_REQUEST_S = 0.02
 MAX_JITTER_S = 0.02
+MAX_CANDIDATES = 24
+"""Upstreams compared for a request, in the region and in the other regions each."""
 SAFE_EXPLORE_AFTER_S = 0.8
 EXPLORE_SHARES = {
     RequestKind.SAFE: 0.6,
@@ -59,6 +61,13 @@
     region_of: Mapping[str, str]
 
 
+class _ServiceUpstreams(NamedTuple):
+    """Upstreams of one service, in this instance's region and in the others."""
+
+    near: list[UpstreamState]
+    far: list[UpstreamState]
+
+
 class Choice(NamedTuple):
     """An upstream chosen for a request.
 
@@ -86,7 +95,8 @@
     def __init__(self, location: Location):
         self._location = location
         self._states: dict[str, UpstreamState] = {}
-        self._by_service: dict[str, dict[str, UpstreamState]] = {}
+        self._by_service: dict[str, _ServiceUpstreams] = {}
+        self._unreported: set[UpstreamState] = set()
         self._last_attempt_number = 0
 
     def update_entries(self, entries: Iterable[UpstreamEntry], now_s: float) -> None:
@@ -96,14 +106,18 @@
         for name, entry in listed.items():
             state = self._states.get(name)
             if state is None or _is_restart(state.entry, entry):
-                state = UpstreamState(entry, now_s)
+                state = UpstreamState(entry, now_s, self._unreported)
             else:
                 state.update_entry(entry)
             states[name] = state
         self._states = states
         self._by_service = {}
-        for name, state in states.items():
-            self._by_service.setdefault(state.entry.service, {})[name] = state
+        for state in states.values():
+            upstreams = self._by_service.setdefault(
+                state.entry.service, _ServiceUpstreams([], [])
+            )
+            is_near = self._is_in_region(state)
+            (upstreams.near if is_near else upstreams.far).append(state)
 
     def get(self, name: str) -> UpstreamState | None:
         """Return the state of an upstream, or None if it is not listed."""
@@ -111,7 +125,8 @@
 
     def count(self, service: str) -> int:
         """Return the number of upstreams listed for a service."""
-        return len(self._by_service.get(service, ()))
+        upstreams = self._by_service.get(service)
+        return len(upstreams.near) + len(upstreams.far) if upstreams else 0
 
     def next_attempt_number(self) -> int:
         """Return a new number that identifies an attempt."""
@@ -129,9 +144,12 @@
     ) -> Choice | None:
         """Return the upstream with the lowest expected cost for a request.
 
-        The cost in seconds adds up the expected response time, the risk of failure,
-        the load, the distance and a random jitter. A share of the requests explores
-        instead: they go to the upstream of the region that was tried least recently.
+        Candidates are all usable upstreams of a small service, and random samples of
+        those in the region and in other regions otherwise, so that a choice costs
+        the same at any number of upstreams. The cost in seconds adds up the expected
+        response time, the risk of failure, the load, the distance and a random
+        jitter. A share of the requests explores instead: they go to the upstream of
+        the region that was tried least recently.
 
         Parameters
         ----------
@@ -146,34 +164,35 @@
         now_s : float
             Monotonic time in seconds.
         draws : iterable of float
-            Random numbers from 0 to 1, one more than there are candidates.
+            Unlimited random numbers from 0 to 1.
 
         Returns
         -------
         Choice or None
             None if no upstream is usable.
         """
-        usable = [
-            state
-            for name, state in self._by_service.get(service, {}).items()
-            if name not in excluded and state.is_usable(now_s)
-        ]
-        if not usable:
+        upstreams = self._by_service.get(service)
+        if upstreams is None:
             return None
         random_numbers = iter(draws)
+        near = _sample_usable(upstreams.near, excluded, now_s, random_numbers)
+        far = _sample_usable(upstreams.far, excluded, now_s, random_numbers)
+        if not near and not far:
+            return None
         if next(random_numbers) < EXPLORE_SHARES[kind]:
-            explored = self._explore(usable, kind, now_s)
+            explored = self._explore(near, kind, now_s)
             if explored is not None:
                 return Choice(explored, self._expected_s(explored, baseline, now_s))
+        candidates = [*near, *far]
         costs = [
             (
                 self._cost_s(state, kind, baseline, now_s)
                 + next(random_numbers) * MAX_JITTER_S,
                 index,
             )
-            for index, state in enumerate(usable)
+            for index, state in enumerate(candidates)
         ]
-        best = usable[min(costs)[1]]
+        best = candidates[min(costs)[1]]
         return Choice(best, self._expected_s(best, baseline, now_s))
 
     def add_reports(
@@ -195,25 +214,38 @@
             if state is not None:
                 state.add_report(report, source, now_s)
 
+    def forget_reported_loads(self) -> None:
+        """Forget the loads that others have reported; they are to be reported anew.
+
+        This is for a change of the sources: the same load must not count under two.
+        """
+        for state in self._states.values():
+            state.forget_reported_loads()
+
     def is_report_urgent(self, now_s: float) -> bool:
         """Return whether reports should be sent without delay."""
-        return any(state.is_report_urgent(now_s) for state in self._states.values())
+        return any(state.is_report_urgent(now_s) for state in self._unreported)
 
     def next_reports(self, now_s: float) -> tuple[UpstreamReport, ...]:
         """Return the reports for other instances and start new ones."""
-        reports = (state.next_report(now_s) for state in self._states.values())
-        return tuple(report for report in reports if report is not None)
+        reports = [
+            (state, state.next_report(now_s)) for state in tuple(self._unreported)
+        ]
+        return tuple(
+            report
+            for state, report in reports
+            if report is not None and self._states.get(report.upstream) is state
+        )
 
-    def _explore(self, usable, kind, now_s) -> UpstreamState | None:
+    def _explore(self, near, kind, now_s) -> UpstreamState | None:
         """Return the upstream of the region tried least recently, if it is due.
 
         A request that is not idempotent explores only an upstream that is unlikely
         to be failing.
         """
-        in_region = [state for state in usable if self._is_in_region(state)]
-        if not in_region:
+        if not near:
             return None
-        state = min(in_region, key=lambda item: item.tried_at_s)
+        state = min(near, key=lambda item: item.tried_at_s)
         untried_s = now_s - state.tried_at_s
         if kind.is_idempotent:
             return state if untried_s > SAFE_EXPLORE_AFTER_S else None
@@ -251,5 +283,25 @@
         return region == self._location.region
 
 
+def _sample_usable(states, excluded, now_s, random_numbers) -> list[UpstreamState]:
+    """Return the usable upstreams among all of a few, or among a random sample.
+
+    All of them are considered if none of the sample is usable.
+    """
+    if len(states) <= MAX_CANDIDATES:
+        return _usable(states, excluded, now_s)
+    indices = {int(next(random_numbers) * len(states)) for _ in range(MAX_CANDIDATES)}
+    sample = _usable((states[index] for index in indices), excluded, now_s)
+    return sample or _usable(states, excluded, now_s)
+
+
+def _usable(states, excluded, now_s) -> list[UpstreamState]:
+    return [
+        state
+        for state in states
+        if state.entry.name not in excluded and state.is_usable(now_s)
+    ]
+
+
 def _is_restart(known: UpstreamEntry, entry: UpstreamEntry) -> bool:
     return known.born_ms != entry.born_ms or known.address != entry.address
--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -1,9 +1,10 @@
 """Fleet-wide rate limits of client accounts, without a coordinator."""
 
 import math
+from collections.abc import Mapping
 from typing import NamedTuple
 
-__all__ = ["AccountUsage", "FleetBucket", "UsageTotals"]
+__all__ = ["AccountUsage", "FleetBucket", "UnsentCounters", "UsageTotals"]
 
 RATE_DECAY_S = 1.0
 MAX_EXTRAPOLATION_S = 0.6
@@ -62,6 +63,7 @@
         self._burst = burst
         self._tolerance = tolerance
         self._tolerant_from_s = now_s + TOLERANCE_DELAY_S
+        self._share = 1.0
         self._level = 0.0
         self._refilled_at_s = now_s
         self._admitted = 0
@@ -79,15 +81,21 @@
         self._burst = burst
         self._level = min(self._level, burst)
 
-    def admit(self, now_s: float) -> bool:
+    def admit(self, now_s: float, share: float = 1.0) -> bool:
         """Take a token if one is available, and return whether one was taken.
 
         Parameters
         ----------
         now_s : float
             Monotonic time in seconds.
+        share : float
+            Share of the rate and the burst that may be used here. With less than the
+            whole one there is no tolerance, as the others can't be heard.
         """
         self._refill(now_s)
+        if share != self._share:
+            self._share = share
+            self._level = min(self._level, self._burst * share)
         if self._level - self._unreported(now_s) < self._required_level(now_s):
             return False
         self._level -= 1
@@ -147,12 +155,13 @@
 
     def _required_level(self, now_s) -> float:
         """Return the level required to admit a request."""
-        is_tolerant = now_s >= self._tolerant_from_s
+        is_tolerant = now_s >= self._tolerant_from_s and self._share == 1.0
         return 1 - self._tolerance if is_tolerant else min(1.0, self._burst)
 
     def _refill(self, now_s):
         gained = self._rate_per_s * max(0.0, now_s - self._refilled_at_s)
-        self._level = min(self._burst, self._level + gained)
+        level = self._level + gained * self._share
+        self._level = min(max(self._level, self._burst * self._share), level)
         self._refilled_at_s = max(self._refilled_at_s, now_s)
 
     def _unreported(self, now_s) -> float:
@@ -206,3 +215,37 @@
     def usages(self) -> tuple[AccountUsage, ...]:
         """Return the totals of all client accounts since this instance started."""
         return tuple(AccountUsage(*item) for item in self._totals.items())
+
+
+class UnsentCounters:
+    """Counters of admitted requests as last sent, to send only those that changed."""
+
+    def __init__(self) -> None:
+        self._sent: dict[str, int] = {}
+        self._has_sent = False
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether a counter was ever sent."""
+        return self._has_sent
+
+    def changed(self, counts: Mapping[str, int]) -> tuple[str, ...]:
+        """Return the client accounts whose counter differs from the one sent."""
+        return tuple(
+            account
+            for account, admitted in counts.items()
+            if admitted != self._sent.get(account, 0)
+        )
+
+    def take(self, counts: Mapping[str, int]) -> tuple[AccountUsage, ...]:
+        """Return the counters that changed, and mark them as sent."""
+        changed = tuple(
+            AccountUsage(account, counts[account]) for account in self.changed(counts)
+        )
+        self._sent.update(changed)
+        self._has_sent = self._has_sent or bool(changed)
+        return changed
+
+    def forget_sent(self) -> None:
+        """Return all counters at the next call of :meth:`take`."""
+        self._sent.clear()
--- a/src/chervilpitch/policy/reader_election.py
+++ b/src/chervilpitch/policy/reader_election.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from .aggregation import is_aggregator
 from .members import Member, MemberState
 
 __all__ = ["READER_COUNT", "ReaderElection", "is_proof_current", "peers_to_query"]
@@ -12,6 +13,7 @@
 ANSWER_TIMEOUT_S = 0.9
 STAGGER_STEP_S = 0.1
 MAX_STAGGER_STEPS = 4
+GROUP_STAGGER_S = 0.8
 FALLBACK_READ_S = 4.0
 MAX_PROOF_AGE_S = 2.2
 
@@ -23,7 +25,8 @@
     The first ``READER_COUNT`` instances of a region by rank continue to read. The
     others query them, and switch to the second if the first fails. If no reader
     answers in time, the others start to read one after another, by rank, so that
-    they do not all query the store at once, even if all have just started.
+    they do not all query the store at once, even if all have just started. An
+    instance that is not an aggregator gives its aggregator time to do so first.
 
     Parameters
     ----------
@@ -46,7 +49,13 @@
         """Record a current answer by the time at which its query was sent."""
         self._answered_at_s = max(asked_at_s, self._answered_at_s or asked_at_s)
 
-    def update(self, ranked: Sequence[Member], own: Member, now_s: float) -> bool:
+    def update(
+        self,
+        ranked: Sequence[Member],
+        own: Member,
+        now_s: float,
+        is_isolated: bool = False,
+    ) -> bool:
         """Decide whether this instance reads the store now, and return the decision.
 
         Parameters
@@ -57,11 +66,19 @@
             This instance.
         now_s : float
             Monotonic time in seconds.
+        is_isolated : bool
+            Whether neither many others nor a newer proof has been heard of recently.
+            An aggregator then reads at once: if the store answers, the others are
+            dead and this instance is not cut off.
         """
         rank = next(
             index for index, member in enumerate(ranked) if member.name == own.name
         )
-        if self._has_timed_out(rank, now_s):
+        stagger_s = STAGGER_STEP_S * min(rank, MAX_STAGGER_STEPS)
+        aggregates = is_aggregator(ranked, own)
+        if not aggregates:
+            stagger_s += GROUP_STAGGER_S
+        if (aggregates and is_isolated) or self._has_timed_out(stagger_s, now_s):
             self._fallback_until_s = now_s + FALLBACK_READ_S
         has_discovered = now_s - self._started_at_s >= DISCOVERY_S
         is_reader = rank == 0 or (
@@ -72,8 +89,7 @@
         )
         return self._is_reading
 
-    def _has_timed_out(self, rank, now_s):
-        stagger_s = STAGGER_STEP_S * min(rank, MAX_STAGGER_STEPS)
+    def _has_timed_out(self, stagger_s, now_s):
         if self._answered_at_s is None:
             return now_s - self._started_at_s > FIRST_ANSWER_TIMEOUT_S + stagger_s
         return now_s - self._answered_at_s > ANSWER_TIMEOUT_S + stagger_s
--- /dev/null
+++ b/src/chervilpitch/policy/remote_loads.py
@@ -0,0 +1,91 @@
+"""Load on one upstream from the other instances, kept as running totals."""
+
+from typing import NamedTuple
+
+__all__ = ["RemoteLoads"]
+
+TTL_S = 1.2
+
+
+class _RemoteLoad(NamedTuple):
+    in_flight: int
+    lateness: float
+    expires_at_s: float
+
+
+class RemoteLoads:
+    """Latest load reported by each source, added up when a report arrives.
+
+    Reading a total costs the same for any number of sources. A load expires
+    ``TTL_S`` after its report, so a source that has left is forgotten.
+
+    Examples
+    --------
+    >>> loads = RemoteLoads()
+    >>> loads.record("a", 2, 0.5, now_s=10.0)
+    0
+    >>> loads.record("a", 3, 0.5, now_s=10.3)
+    2
+    >>> loads.in_flight(now_s=10.4), loads.in_flight(now_s=20.0)
+    (3, 0)
+    """
+
+    def __init__(self) -> None:
+        self._loads: dict[str, _RemoteLoad] = {}
+        self._in_flight = 0
+        self._lateness = 0.0
+
+    def __len__(self) -> int:
+        return len(self._loads)
+
+    def record(self, source: str, in_flight: int, lateness: float, now_s: float) -> int:
+        """Replace the load of a source and return its previous requests in flight.
+
+        Parameters
+        ----------
+        source : str
+            Instance or group of instances that reports.
+        in_flight : int
+            Its requests that are waiting for a response.
+        lateness : float
+            Evidence of failure from these requests, in log-odds.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        self._remove_expired(now_s)
+        previous = self._remove(source)
+        self._loads[source] = _RemoteLoad(in_flight, lateness, now_s + TTL_S)
+        self._in_flight += in_flight
+        self._lateness += lateness
+        return previous
+
+    def clear(self) -> None:
+        """Forget the loads of all sources."""
+        self._loads.clear()
+        self._in_flight = 0
+        self._lateness = 0.0
+
+    def in_flight(self, now_s: float) -> int:
+        """Return the requests in flight from all sources."""
+        self._remove_expired(now_s)
+        return self._in_flight
+
+    def lateness(self, now_s: float) -> float:
+        """Return the evidence of failure from all sources, in log-odds."""
+        self._remove_expired(now_s)
+        return self._lateness
+
+    def _remove_expired(self, now_s):
+        while self._loads:
+            source, oldest = next(iter(self._loads.items()))
+            if now_s < oldest.expires_at_s:
+                return
+            self._remove(source)
+
+    def _remove(self, source) -> int:
+        load = self._loads.pop(source, None)
+        if load is None:
+            return 0
+        self._in_flight -= load.in_flight
+        self._lateness = self._lateness - load.lateness if self._loads else 0.0
+        return load.in_flight
--- a/src/chervilpitch/policy/upstream_state.py
+++ b/src/chervilpitch/policy/upstream_state.py
@@ -7,12 +7,12 @@
 
 from .failure_estimate import FailureEstimate, lateness_log_odds, logistic
 from .latency import LatencyBaseline
+from .remote_loads import RemoteLoads
 
-__all__ = ["PendingAttempt", "RemoteLoad", "UpstreamReport", "UpstreamState"]
+__all__ = ["PendingAttempt", "UpstreamReport", "UpstreamState"]
 
 MAX_LATENESS_LOG_ODDS = 6.0
 URGENT_LATENESS_LOG_ODDS = 1.5
-REMOTE_LOAD_TTL_S = 1.2
 REPORTED_LOAD_TTL_S = 0.25
 SLOWNESS_GAIN = 0.25
 MAX_SLOWNESS = 8.0
@@ -22,7 +22,7 @@
 
 
 class UpstreamReport(NamedTuple):
-    """Report of one instance on one upstream, sent to the other instances.
+    """Report on one upstream by one instance or a group, for other instances.
 
     Parameters
     ----------
@@ -46,23 +46,10 @@
     failed: int
     late: float
 
-
-class RemoteLoad(NamedTuple):
-    """Load on the upstream from another instance, as of its last report.
-
-    Parameters
-    ----------
-    in_flight : int
-        Requests that are waiting for a response.
-    lateness : float
-        Evidence of failure from these requests, in log-odds.
-    received_at_s : float
-        Monotonic time in seconds at which the report was received.
-    """
-
-    in_flight: int
-    lateness: float
-    received_at_s: float
+    @property
+    def is_late(self) -> bool:
+        """Whether the evidence from late or abandoned requests is strong."""
+        return self.lateness + self.late > URGENT_LATENESS_LOG_ODDS
 
 
 class PendingAttempt(NamedTuple):
@@ -93,14 +80,19 @@
         Entry that the upstream has written to the store.
     now_s : float
         Monotonic time in seconds.
+    unreported : set of UpstreamState
+        The state adds itself when it has something to report to other instances.
     """
 
-    def __init__(self, entry: UpstreamEntry, now_s: float):
+    def __init__(
+        self, entry: UpstreamEntry, now_s: float, unreported: "set[UpstreamState]"
+    ):
         self._entry = entry
+        self._unreported = unreported
         self._cold_until_s = now_s + entry.cold_for_s
         self._estimate = FailureEstimate()
         self._pending: dict[int, PendingAttempt] = {}
-        self._remote: dict[str, RemoteLoad] = {}
+        self._remote = RemoteLoads()
         self._reported_load = 0
         self._reported_at_s = float("-inf")
         self._slowness = 1.0
@@ -113,7 +105,7 @@
         self._late = 0.0
         self._sent_lateness = 0.0
         self._is_reported = True
-        self._tried_at_s = now_s - math.inf
+        self._tried_at_s = -math.inf
 
     @property
     def entry(self) -> UpstreamEntry:
@@ -159,7 +151,7 @@
         """
         self._pending[attempt] = PendingAttempt(baseline, now_s)
         self._tried_at_s = now_s
-        self._is_reported = False
+        self._mark_unreported()
 
     def record_success(self, attempt: int, now_s: float) -> None:
         """Record a good response."""
@@ -218,11 +210,9 @@
         self._reported_at_s = now_s
 
     def add_report(self, report: UpstreamReport, source: str, now_s: float) -> None:
-        """Add the report of another instance."""
-        previous = self._remote.get(source)
-        self._remote[source] = RemoteLoad(report.in_flight, report.lateness, now_s)
-        has_started = report.in_flight > (previous.in_flight if previous else 0)
-        if has_started or report.succeeded or report.failed:
+        """Add the report of another instance or group of instances."""
+        previous = self._remote.record(source, report.in_flight, report.lateness, now_s)
+        if report.in_flight > previous or report.succeeded or report.failed:
             self._tried_at_s = now_s
         if report.succeeded:
             self._estimate.add_successes(now_s, report.succeeded)
@@ -231,14 +221,13 @@
         if report.late:
             self._estimate.add_lateness(now_s, report.late)
 
+    def forget_reported_loads(self) -> None:
+        """Forget the loads that other instances have reported."""
+        self._remote.clear()
+
     def load(self, now_s: float) -> int:
         """Return the estimated number of requests at the upstream."""
-        remote = sum(
-            item.in_flight
-            for item in self._remote.values()
-            if now_s - item.received_at_s < REMOTE_LOAD_TTL_S
-        )
-        known = remote + len(self._pending)
+        known = self._remote.in_flight(now_s) + len(self._pending)
         if now_s - self._reported_at_s < REPORTED_LOAD_TTL_S:
             return max(known, self._reported_load)
         return known
@@ -268,6 +257,7 @@
             None if nothing has changed and no request is waiting for a response.
         """
         if self._is_reported and not self._pending:
+            self._unreported.discard(self)
             return None
         self._sent_lateness = self._own_lateness(now_s)
         report = UpstreamReport(
@@ -294,16 +284,16 @@
         return 1 + (self._slowness - 1) * decay
 
     def _remove_pending(self, attempt) -> PendingAttempt:
-        self._is_reported = False
+        self._mark_unreported()
         return self._pending.pop(attempt)
 
+    def _mark_unreported(self):
+        self._is_reported = False
+        self._unreported.add(self)
+
     def _own_lateness(self, now_s):
         return sum(item.lateness(now_s) for item in self._pending.values())
 
     def _total_lateness(self, now_s):
-        remote = sum(
-            item.lateness
-            for item in self._remote.values()
-            if now_s - item.received_at_s < REMOTE_LOAD_TTL_S
-        )
-        return min(MAX_LATENESS_LOG_ODDS, remote + self._own_lateness(now_s))
+        lateness = self._remote.lateness(now_s) + self._own_lateness(now_s)
+        return min(MAX_LATENESS_LOG_ODDS, lateness)
--- /dev/null
+++ b/tests/gateway/region_simulation.py
@@ -0,0 +1,131 @@
+"""Instances of one region that exchange messages in one process, on a manual clock."""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+
+from chervilpitch.gateway.codec import Datagram
+from chervilpitch.gateway.gossip import Gossip
+from chervilpitch.policy import MemberState
+
+from .harness import new_state
+
+STEP_S = 0.05
+DELAY_S = 0.002
+DOMAINS = ("n1", "n2", "n3")
+HEARTBEAT_STEPS = 2
+STATE_STEPS = 6
+READER_STEPS = 4
+
+
+class RegionSimulation:
+    """A region whose datagrams arrive after a delay, or are lost.
+
+    Parameters
+    ----------
+    count : int
+        Number of instances, all of which start at the same time.
+    seed : int
+        Seed of random numbers.
+    loss : float
+        Share of datagrams that are lost.
+    """
+
+    def __init__(self, count, seed, loss=0.0):
+        random.seed(seed)
+        self._rng = random.Random(seed)
+        self._loss = loss
+        self._steps = 0
+        self._queue = []
+        self._order = itertools.count()
+        self.now_s = 100.0
+        self.received = Counter()
+        self.is_store_up = True
+        self.unreachable = set()
+        self.gossips = {}
+        self.states = {}
+        self.paused = set()
+        for number in range(count):
+            self._start(f"i{number}", number)
+
+    def _start(self, name, number):
+        state = new_state(name, lambda: self.now_s)
+        own = state.members.own
+        state.members._own = own._replace(failure_domain=DOMAINS[number % 3])
+        gossip = Gossip(state, ("i0", "i1", "i2"), lambda: self.now_s)
+        gossip.socket.send = lambda addresses, message: self._send(
+            name, addresses, message
+        )
+        self.gossips[name] = gossip
+        self.states[name] = state
+
+    def _send(self, sender, addresses, message):
+        for address in addresses:
+            is_cut = sender in self.unreachable or address in self.unreachable
+            if not is_cut and self._rng.random() >= self._loss:
+                item = (self.now_s + DELAY_S, next(self._order), sender, address)
+                heapq.heappush(self._queue, (*item, message))
+        return True
+
+    def stop(self, name):
+        """Stop an instance without a word."""
+        del self.gossips[name]
+
+    def run(self, duration_s):
+        """Run all instances for a duration in seconds."""
+        for _ in range(round(duration_s / STEP_S)):
+            self._steps += 1
+            self.now_s += STEP_S
+            self._deliver()
+            self._prove()
+            for number, (name, gossip) in enumerate(list(self.gossips.items())):
+                if name not in self.paused:
+                    self._run_steps(gossip, self._steps + number)
+
+    def _run_steps(self, gossip, step):
+        gossip.send_evidence()
+        if step % HEARTBEAT_STEPS == 0:
+            gossip.send_heartbeat()
+        if step % READER_STEPS == 0:
+            gossip.update_reader_role()
+        if step % STATE_STEPS == 0:
+            gossip.request_state()
+
+    def _prove(self):
+        for name in self.readers() if self.is_store_up else ():
+            if name not in self.unreachable:
+                self.states[name].apply_configuration_items((), self.now_s)
+
+    def _deliver(self):
+        while self._queue and self._queue[0][0] <= self.now_s:
+            _, _, sender, address, message = heapq.heappop(self._queue)
+            if address in self.gossips and address not in self.paused:
+                self.received[address] += 1
+                self.gossips[address].receive(Datagram(sender, 1, message), sender)
+
+    def known_by(self, name):
+        """Return the names of the instances that one holds alive and not leaving."""
+        alive = self.states[name].members.alive(self.now_s)
+        return {item.name for item in alive if item.state != MemberState.LEAVING}
+
+    def missing(self):
+        """Return the pairs of an instance and a running one that it doesn't know."""
+        names = set(self.gossips)
+        return [
+            (name, other)
+            for name in names
+            for other in names - self.known_by(name) - {name}
+        ]
+
+    def readers(self):
+        """Return the names of the instances that read the store."""
+        return {name for name, gossip in self.gossips.items() if gossip.is_reading}
+
+    def limited(self):
+        """Return the names of the instances that may not use whole rates."""
+        return [
+            name
+            for name in self.gossips
+            if self.states[name].contact.rate_share(self.now_s) < 1.0
+        ]
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -129,4 +129,4 @@
         for gossip in gossips:
             gossip.send_heartbeat()
     for gossip in gossips:
-        assert len(gossip._members.in_region(network.now_s)) == len(names) - 1
+        assert len(gossip._members.live(network.now_s)) == len(names) - 1
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -55,7 +55,7 @@
     harness = RateSharingHarness()
     harness.now_s += age_s
     before = harness.level()
-    harness.rates.record_region_usage(source_of("b", OWN_START_MS), USED)
+    harness.rates.record_summed_usage(source_of("b", OWN_START_MS), USED)
     assert harness.level() == pytest.approx(before - lowered)
 
 
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -7,23 +7,32 @@
 
 from chervilpitch.policy import (
     AccountUsage,
+    Contact,
     FleetBucket,
     UsageTotals,
+    share_heard,
 )
 
 STEP_S = 0.02
+STEPS_PER_HEARTBEAT = 40
 EXCESS = 0.1
 TOLERANCE = 8.0
 
 
 class BucketFleet:
-    """Buckets of several instances that report their counters with a delay."""
+    """Buckets of several instances that report their counters with a delay.
+
+    Partitioned instances hear neither the others nor the store. Each heartbeat
+    refreshes what an instance knows of its contact.
+    """
 
     def __init__(self, instances, rate, burst, tolerance=TOLERANCE, lag_s=0.15):
         self.buckets = [
             FleetBucket(rate * (1 + EXCESS), burst, tolerance, 0.0)
             for _ in range(instances)
         ]
+        self.contacts = [Contact(0.0) for _ in range(instances)]
+        self.heard_at_s = [[0.0] * instances for _ in range(instances)]
         self.lag_s = lag_s
         self.partitioned = frozenset()
         self.partitioned_until_s = math.inf
@@ -39,14 +48,25 @@
         while self.queue and self.queue[0][0] <= now_s:
             _, sender, admitted = self.queue.pop(0)
             for index, bucket in enumerate(self.buckets):
-                is_lost = (
-                    self.is_partitioned(now_s) and {index, sender} & self.partitioned
-                )
-                if index != sender and not is_lost:
+                if index != sender and not self.is_lost(sender, index, now_s):
                     bucket.add_report(
                         str(sender), admitted, now_s, self.started_no_earlier
                     )
 
+    def send_heartbeats(self, now_s):
+        for index, contact in enumerate(self.contacts):
+            heard_at_s = self.heard_at_s[index]
+            for sender in range(len(self.contacts)):
+                if not self.is_lost(sender, index, now_s):
+                    heard_at_s[sender] = now_s
+            others = heard_at_s[:index] + heard_at_s[index + 1 :]
+            contact.record_members(share_heard(others, now_s), now_s)
+            if not (self.is_partitioned(now_s) and index in self.partitioned):
+                contact.record_proof(now_s)
+
+    def is_lost(self, sender, receiver, now_s):
+        return self.is_partitioned(now_s) and {sender, receiver} & self.partitioned
+
     def is_partitioned(self, now_s):
         return self.partitioned_from_s <= now_s < self.partitioned_until_s
 
@@ -58,10 +78,14 @@
             is_urgent = any(bucket.is_low(now_s) for bucket in self.buckets)
             if step % (5 if is_urgent else 15) == 0:
                 self.send_reports(now_s)
+            if step % STEPS_PER_HEARTBEAT == 0:
+                self.send_heartbeats(now_s)
             self.deliver_reports(now_s)
             for _ in range(poisson(request_rate(now_s) * STEP_S, rng)):
-                bucket = rng.choice(self.buckets)
-                (admitted if bucket.admit(now_s) else refused).append(now_s)
+                index = rng.choice(range(len(self.buckets)))
+                share = self.contacts[index].rate_share(now_s)
+                is_admitted = self.buckets[index].admit(now_s, share)
+                (admitted if is_admitted else refused).append(now_s)
         return admitted, refused
 
 
