--- a/src/chervilpitch/gateway/forward.py
+++ b/src/chervilpitch/gateway/forward.py
@@ -140,7 +140,7 @@
                 return self._deadline_result(progress)
             timeout_s = remaining_s
             if self._may_hedge(outgoing, progress):
-                timeout_s = min(remaining_s, HEDGE_CHECK_INTERVAL_S)
+                timeout_s = min(remaining_s, self._hedge_check_s(outgoing))
             done, _ = await asyncio.wait(
                 progress.running,
                 timeout=timeout_s,
@@ -238,6 +238,14 @@
             and progress.sent_count < route.max_attempts
         )
 
+    def _hedge_check_s(self, outgoing) -> float:
+        """Return the time in seconds until a hedge may be due."""
+        baseline = self._state.latency_baseline(outgoing.route)
+        first_at_s = outgoing.request.arrived_at_s + baseline.min_age_s(
+            SUSPECT_HEDGE_SURVIVAL
+        )
+        return max(HEDGE_CHECK_INTERVAL_S, first_at_s - self._clock())
+
     def _should_hedge(self, outgoing, progress):
         """Return whether the response is so late that a hedge is due.
 
@@ -326,7 +334,7 @@
             if acquired.is_reused:
                 self._pool.close_idle(name)
             raise
-        return self._classify_response(upstream, number, acquired.connection, response)
+        return self._classify_response(outgoing, choice, number, acquired, response)
 
     def _upstream_request(self, outgoing, upstream) -> HttpRequest:
         request = outgoing.request
@@ -337,13 +345,21 @@
         return HttpRequest(request.method, request.target, headers, request.body)
 
     def _classify_response(
-        self, upstream, number, connection, response
+        self, outgoing, choice, number, acquired, response
     ) -> _AttemptResult:
+        upstream = choice.upstream
         now_s = self._clock()
         metadata = platform.parse_response_metadata(response.status, response.headers)
+        if outgoing.request_id and metadata.request_id != outgoing.request_id:
+            acquired.connection.close()
+            upstream.record_failure(number, now_s)
+            cause = "response without the request's id"
+            return _AttemptResult(AttemptOutcome.FAILED, cause=cause)
         if metadata.load is not None:
             upstream.record_load(metadata.load[0], metadata.load[1], now_s)
-        self._pool.release(upstream.entry.name, connection, metadata.idle_for_s)
+        self._pool.release(
+            upstream.entry.name, acquired.connection, metadata.idle_for_s
+        )
         if metadata.is_not_run:
             if metadata.is_misdirected:
                 upstream.record_not_run(number)
--- a/src/chervilpitch/gateway/gossip.py
+++ b/src/chervilpitch/gateway/gossip.py
@@ -1,5 +1,6 @@
 """Messages that gateway instances exchange: heartbeats, evidence and store state."""
 
+import asyncio
 from functools import singledispatchmethod
 
 from chervilpitch.observe import part_logger
@@ -47,6 +48,7 @@
         self._socket = PeerSocket(self._members.own, self.receive)
         self._region = RegionView(self._members, clock)
         self._election = ReaderElection(clock())
+        self._reading_begun = asyncio.Event()
         self._heartbeats = Heartbeats(state, self._region, self._socket, seeds, clock)
         self._evidence = EvidenceExchange(state, self._region, self._socket, clock)
         self._states = StateExchange(
@@ -68,6 +70,11 @@
         """Whether this instance reads the store itself."""
         return self._election.is_reading
 
+    @property
+    def reading_begun(self) -> asyncio.Event:
+        """Event that is set while this instance reads the store itself."""
+        return self._reading_begun
+
     @property
     def has_serving_peer(self) -> bool:
         """Whether another instance of the region is known to serve requests."""
@@ -91,6 +98,7 @@
             self._region.ranked, self._members.own, now_s, is_isolated
         )
         if reads != before:
+            (self._reading_begun.set if reads else self._reading_begun.clear)()
             age_s = self._state.freshness.age_s(now_s)
             log.info(
                 "Instance started or stopped reading the store.",
--- a/src/chervilpitch/gateway/heartbeats.py
+++ b/src/chervilpitch/gateway/heartbeats.py
@@ -1,6 +1,7 @@
 """Heartbeats and lists of members between instances."""
 
 import random
+from collections.abc import Sequence
 
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import Member, MemberState, aggregators_of
@@ -10,7 +11,7 @@
 from .region import RegionView
 from .state import GatewayState
 
-__all__ = ["Heartbeats"]
+__all__ = ["Heartbeats", "log_discovered"]
 
 log = part_logger("fleet")
 
@@ -20,6 +21,7 @@
 HEARTBEATS_PER_MEMBER_LIST = 4
 DISTANT_MEMBERS = 2
 """Instances of each other region that are told of a stop, or named in a reply."""
+MAX_LOGGED_NAMES = 8
 
 
 class Heartbeats:
@@ -78,8 +80,11 @@
             STARTUP_HEARTBEAT_INTERVAL_S if is_starting else HEARTBEAT_INTERVAL_S
         )
         own = self._members.heartbeat(self._own_state())
-        for member in self._members.remove_expired(now_s):
-            log.info("Another instance removed: no heartbeat.", instance=member.name)
+        expired = self._members.remove_expired(now_s)
+        if expired:
+            log.info(
+                "Other instances removed: no heartbeat.", **_names_and_count(expired)
+            )
         if self._region.is_aggregator:
             self._send_to_aggregators(own, now_s)
         elif self._region.aggregator is not None:
@@ -98,6 +103,7 @@
         """
         now_s = self._clock()
         own = self._members.heartbeat(MemberState.LEAVING)
+        self._region.refresh()
         words = MemberWords((own,), False)
         group = self._region.group.addresses(now_s).values()
         self._socket.send(list(group), words)
@@ -132,8 +138,7 @@
         """
         now_s = self._clock()
         new = self._members.merge(message.members, now_s)
-        for member in new:
-            log.info("Another instance discovered or restarted.", instance=member.name)
+        log_discovered(new)
         if new:
             self._region.refresh_soon()
         if message.is_reply_wanted:
@@ -186,3 +191,16 @@
     def _send(self, receivers, members: tuple[Member, ...]):
         addresses = [member.peers_address for member in receivers]
         self._socket.send(addresses, MemberWords(members, False))
+
+
+def log_discovered(members: Sequence[Member]) -> None:
+    """Log in one line the instances that have become known or have restarted."""
+    if members:
+        log.info(
+            "Other instances discovered or restarted.", **_names_and_count(members)
+        )
+
+
+def _names_and_count(members):
+    names = [member.name for member in members[:MAX_LOGGED_NAMES]]
+    return {"count": len(members), "instances": names}
--- a/src/chervilpitch/gateway/http_client.py
+++ b/src/chervilpitch/gateway/http_client.py
@@ -9,6 +9,8 @@
 
 from chervilpitch.errors import ChervilpitchError
 
+from .buffers import BufferLimit
+
 __all__ = [
     "ClientResponse",
     "ClientConnection",
@@ -91,13 +93,21 @@
 class ClientConnection(asyncio.Protocol):
     """A client connection that carries one exchange at a time.
 
+    Parameters
+    ----------
+    buffers : BufferLimit, optional
+        Limit of the response bodies that may be buffered at once; by default that of
+        a single response.
+
     Notes
     -----
     Bytes that arrive while no exchange is in progress belong to no request; the
     connection is then closed and not reused.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, buffers: BufferLimit | None = None):
+        self._buffers = buffers or BufferLimit(MAX_RESPONSE_BYTES)
+        self._buffered_bytes = 0
         self._transport = None
         self._http = None
         self._data_event = asyncio.Event()
@@ -169,6 +179,9 @@
         except BaseException:
             self.close()
             raise
+        finally:
+            self._buffers.release(self._buffered_bytes)
+            self._buffered_bytes = 0
         self._finish_exchange()
         return response
 
@@ -212,13 +225,17 @@
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
-                if size > MAX_RESPONSE_BYTES:
-                    raise ExchangeError(FailureKind.TOO_LARGE)
+                self._reserve(len(event.data), size)
             elif isinstance(event, h11.EndOfMessage):
                 break
         headers = [(name, value) for name, value in head.headers]
         return ClientResponse(head.status_code, headers, b"".join(parts))
 
+    def _reserve(self, new_bytes, size):
+        if size > MAX_RESPONSE_BYTES or not self._buffers.reserve(new_bytes):
+            raise ExchangeError(FailureKind.TOO_LARGE)
+        self._buffered_bytes += new_bytes
+
     async def _next_event(self):
         while True:
             try:
@@ -258,7 +275,9 @@
         self._data_event.set()
 
 
-async def connect(address: str, timeout_s: float) -> ClientConnection:
+async def connect(
+    address: str, timeout_s: float, buffers: BufferLimit | None = None
+) -> ClientConnection:
     """Open a connection.
 
     Parameters
@@ -267,6 +286,8 @@
         Host and port.
     timeout_s : float
         Timeout of the attempt in seconds.
+    buffers : BufferLimit, optional
+        Limit of the response bodies that may be buffered at once.
 
     Raises
     ------
@@ -278,7 +299,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                ClientConnection, host, int(port)
+                lambda: ClientConnection(buffers), host, int(port)
             )
     except (OSError, TimeoutError) as error:
         raise ExchangeError(FailureKind.NOT_CONNECTED) from error
--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -10,6 +10,8 @@
 from chervilpitch.model import CallerLimits
 from chervilpitch.observe import part_logger
 
+from .buffers import BufferLimit
+
 __all__ = ["HttpServer", "ServerConnection", "ServerRequest", "ServerResponse"]
 
 log = part_logger("callers")
@@ -17,6 +19,8 @@
 CONNECTION_CLOSE = (b"Connection", b"close")
 CONTINUE_RESPONSE = h11.InformationalResponse(status_code=100, headers=[])
 LINGER_S = 1.0
+MAX_PIPELINED_BYTES = 65_536
+"""Bytes received behind a request in progress, above which reading is paused."""
 
 
 class ServerRequest(NamedTuple):
@@ -70,8 +74,8 @@
         Returns the limits in force.
     clock : callable
         Returns monotonic seconds.
-    max_buffered_bytes : int
-        Bytes of request bodies that may be buffered at once.
+    buffers : BufferLimit
+        Limit of the request bodies that may be buffered at once.
     """
 
     def __init__(
@@ -79,13 +83,12 @@
         serve: Callable[[ServerRequest], Awaitable[ServerResponse]],
         limits: Callable[[], CallerLimits],
         clock: Callable[[], float],
-        max_buffered_bytes: int,
+        buffers: BufferLimit,
     ):
         self._serve = serve
         self._limits = limits
         self._clock = clock
-        self._max_buffered_bytes = max_buffered_bytes
-        self._buffered_bytes = 0
+        self._buffers = buffers
         self._open: set[ServerConnection] = set()
         self._is_closing = False
 
@@ -104,6 +107,11 @@
         """Returns monotonic seconds."""
         return self._clock
 
+    @property
+    def buffers(self) -> BufferLimit:
+        """Limit of the request bodies that may be buffered at once."""
+        return self._buffers
+
     @property
     def is_closing(self) -> bool:
         """Whether connections close after their next response."""
@@ -138,17 +146,6 @@
         """Remove a closed connection."""
         self._open.discard(connection)
 
-    def reserve_buffer(self, size_bytes: int) -> bool:
-        """Reserve buffer for bytes of a body; return False if the limit is reached."""
-        if self._buffered_bytes + size_bytes > self._max_buffered_bytes:
-            return False
-        self._buffered_bytes += size_bytes
-        return True
-
-    def release_buffer(self, size_bytes: int) -> None:
-        """Release buffer that was reserved for a body."""
-        self._buffered_bytes -= size_bytes
-
 
 class ServerConnection(asyncio.Protocol):
     """A connection from a caller.
@@ -172,6 +169,7 @@
         self._head_received_at_s = 0.0
         self._idle_until_s = server.clock() + self._limits.header_timeout_s
         self._task: asyncio.Task | None = None
+        self._pipelined_bytes = 0
 
     @property
     def is_busy(self) -> bool:
@@ -192,6 +190,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject a request that is not valid HTTP/1.1."""
+        if self._task is not None:
+            self._limit_pipelined(len(data))
         try:
             self._http.receive_data(data)
             self._process_events()
@@ -224,6 +224,17 @@
         else:
             self.close()
 
+    def _limit_pipelined(self, size_bytes):
+        """Pause reading if much was sent behind a request in progress."""
+        self._pipelined_bytes += size_bytes
+        if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+            self._transport.pause_reading()
+
+    def _resume_reading(self):
+        if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+            self._transport.resume_reading()
+        self._pipelined_bytes = 0
+
     def _process_events(self):
         while self._task is None:
             event = self._http.next_event()
@@ -254,7 +265,7 @@
         self._idle_until_s = self._server.clock() + self._limits.idle_timeout_s
         if self._body_bytes + len(data) > self._limits.max_body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif not self._server.reserve_buffer(len(data)):
+        elif not self._server.buffers.reserve(len(data)):
             log.warning(
                 "Request body refused: the buffer for bodies is full.",
                 bytes=self._body_bytes + len(data),
@@ -300,6 +311,7 @@
             self.close()
             return
         self._http.start_next_cycle()
+        self._resume_reading()
         self._idle_until_s = self._server.clock() + self._limits.idle_timeout_s
         try:
             self._process_events()
@@ -337,7 +349,7 @@
         self.close()
 
     def _release_body(self):
-        self._server.release_buffer(self._body_bytes)
+        self._server.buffers.release(self._body_bytes)
         self._body_bytes = 0
         self._body_parts = []
 
--- a/src/chervilpitch/gateway/pool.py
+++ b/src/chervilpitch/gateway/pool.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from .buffers import BufferLimit
 from .http_client import ClientConnection, connect
 
 __all__ = ["AcquiredConnection", "ConnectionPool"]
@@ -39,10 +40,13 @@
     ----------
     clock : callable
         Returns monotonic seconds.
+    buffers : BufferLimit, optional
+        Limit of the response bodies that may be buffered at once.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, buffers: BufferLimit | None = None):
         self._clock = clock
+        self._buffers = buffers
         self._idle: dict[str, list[_IdleConnection]] = {}
         self._opened = 0
 
@@ -73,7 +77,8 @@
                 return AcquiredConnection(connection, True)
             connection.close()
         self._opened += 1
-        return AcquiredConnection(await connect(address, CONNECT_TIMEOUT_S), False)
+        connection = await connect(address, CONNECT_TIMEOUT_S, self._buffers)
+        return AcquiredConnection(connection, False)
 
     def release(
         self, upstream: str, connection: ClientConnection, idle_for_s: float | None
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -1,6 +1,8 @@
 """Process of one gateway instance: its components, periodic tasks and stop."""
 
 import asyncio
+import gc
+import itertools
 import os
 import signal
 import sys
@@ -21,17 +23,19 @@
     Member,
     MemberState,
     MemberTable,
-    addresses_for,
 )
 from chervilpitch.settings import GatewaySettings, load_gateway
 from chervilpitch.transport.clock import monotonic_s, wall_ns
 
+from .buffers import BufferLimit
+from .directory import AddressDirectory
 from .forward import Forwarder
 from .gossip import Gossip
 from .http_server import HttpServer, ServerConnection, ServerResponse
 from .metrics import GatewayMetrics
 from .pool import ConnectionPool
 from .request_path import RequestPath
+from .schedule import PeriodicStep, run_periodically
 from .state import GatewayState
 from .store_reader import StoreReader
 
@@ -40,12 +44,13 @@
 log = part_logger("instance")
 
 NS_PER_MS = 1_000_000
-BODY_SHARE_OF_MEMORY = 0.25
+BODY_SHARE_OF_MEMORY = 0.2
+"""Share of the memory for bodies of requests, and as much for those of responses."""
 BYTES_PER_MB = 1_000_000
 LISTEN_BACKLOG = 1_024
 HEARTBEAT_CHECK_INTERVAL_S = 0.1
 REGION_MEMBERS_INTERVAL_S = 2.0
-REPORT_CHECK_INTERVAL_S = 0.05
+REPORT_CHECK_INTERVAL_S = 0.1
 STATE_REQUEST_INTERVAL_S = 0.3
 READER_CHECK_INTERVAL_S = 0.2
 MAINTENANCE_INTERVAL_S = 0.5
@@ -53,6 +58,8 @@
 STOP_ACCEPTING_BEFORE_END_S = 2.6
 STOP_MARGIN_S = 0.25
 STOP_POLL_INTERVAL_S = 0.1
+GC_THRESHOLDS = (20_000, 20, 50)
+"""Allocations and collections between garbage collections, as few cycles arise."""
 
 
 class GatewayProcess:
@@ -80,24 +87,23 @@
         self._members = MemberTable(_own_member(settings))
         self._state = GatewayState(location, settings.limits, self._members, clock)
         self._gossip = Gossip(self._state, settings.seeds, clock)
-        self._pool = ConnectionPool(clock)
+        self._directory = AddressDirectory(self._gossip.region)
+        body_bytes = int(instance.memory_mb * BYTES_PER_MB * BODY_SHARE_OF_MEMORY)
+        self._pool = ConnectionPool(clock, BufferLimit(body_bytes))
         self._reader = StoreReader(
             settings.store.address, self._state, self._gossip, clock
         )
         self._metrics = GatewayMetrics()
         forwarder = Forwarder(self._state, self._pool, clock)
         request_path = RequestPath(self._state, forwarder, self._metrics, clock)
-        max_buffered_bytes = int(
-            instance.memory_mb * BYTES_PER_MB * BODY_SHARE_OF_MEMORY
-        )
         self._caller_server = HttpServer(
             request_path.serve,
             lambda: self._state.configuration.limits,
             clock,
-            max_buffered_bytes,
+            BufferLimit(body_bytes),
         )
         self._management_server = HttpServer(
-            self._serve_management_page, CallerLimits, clock, BYTES_PER_MB
+            self._serve_management_page, CallerLimits, clock, BufferLimit(BYTES_PER_MB)
         )
         self._listener = None
         self._tasks: list[asyncio.Task] = []
@@ -150,10 +156,12 @@
             (self._run_maintenance, MAINTENANCE_INTERVAL_S),
             (self._logs.drain, LOG_DRAIN_INTERVAL_S),
         )
-        coroutines = [_run_periodically(step, interval_s) for step, interval_s in steps]
-        coroutines.append(self._reader.read_at_start())
-        coroutines.append(self._reader.watch_configuration())
-        coroutines.append(self._reader.watch_entries())
+        coroutines = (
+            run_periodically(itertools.starmap(PeriodicStep, steps), monotonic_s),
+            self._reader.read_at_start(),
+            self._reader.watch_configuration(),
+            self._reader.watch_entries(),
+        )
         self._tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
 
     def _run_maintenance(self):
@@ -177,10 +185,8 @@
 
     def _resolve_addresses(self, query) -> ServerResponse:
         resolve_query = platform.parse_resolve(query)
-        own = self._members.own
-        members = [*self._members.alive(monotonic_s()), own]
-        addresses = addresses_for(
-            members, resolve_query.region, resolve_query.failure_domain
+        addresses = self._directory.addresses(
+            resolve_query.region, resolve_query.failure_domain
         )
         if not addresses:
             return ServerResponse(HTTPStatus.SERVICE_UNAVAILABLE, [])
@@ -247,19 +253,6 @@
         log.info("Settings reloaded.", seeds=list(self._settings.seeds))
 
 
-async def _run_periodically(step, interval_s):
-    """Run a step periodically; log an exception and go on."""
-    while True:
-        try:
-            step()
-        except Exception:
-            log.exception(
-                "A periodic step raised an exception; it runs again on schedule.",
-                step=step.__qualname__,
-            )
-        await asyncio.sleep(interval_s)
-
-
 def run_gateway(settings: GatewaySettings, path: str) -> None:
     """Run one instance until SIGTERM or SIGINT.
 
@@ -270,6 +263,8 @@
     path : str
         Path of the settings file.
     """
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     logs = BoundedLogStream(sys.stdout.fileno())
     log_format = LogFormat(settings.log.format)
     configure_logs(logs, log_format, SecretRegister())
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -9,6 +9,7 @@
     Configuration,
     HostRoute,
     StoreItem,
+    UpstreamEntry,
 )
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
@@ -65,6 +66,7 @@
         self._routes = RouteTable(())
         self._configuration_item: StoreItem | None = None
         self._entry_items = ItemReplica()
+        self._decoded_entries: dict[str, UpstreamEntry] = {}
         self._listing = UpstreamListing()
         limits = FreshnessLimits.from_bounds(
             bounds.revocation_s, bounds.configuration_s
@@ -234,18 +236,11 @@
             self._update_bucket(account)
 
     def _apply_entries(self, keys):
-        entries = []
-        for item in self._entry_items.items:
-            decoded = platform.decode_entry(item.key, item.value)
-            if decoded.is_ok():
-                entries.append(decoded.unwrap())
-            elif item.key in keys:
-                cause = str(decoded.unwrap_err())
-                log.warning(
-                    "Upstream entry could not be decoded; ignored it.",
-                    entry=item.key,
-                    cause=cause,
-                )
+        """Decode the entries of the keys that changed, and update the upstreams."""
+        items = {item.key: item for item in self._entry_items.items}
+        for key in keys:
+            self._decode_entry(key, items.get(key))
+        entries = self._decoded_entries.values()
         now_s = self._clock()
         missing_until_s = self._freshness.gap_ended_at_s + MISSING_ENTRY_GRACE_S
         listed = self._listing.update(entries, now_s, missing_until_s)
@@ -254,6 +249,20 @@
         if keys:
             log.info("Upstreams changed.", changed=len(keys), listed=len(listed))
 
+    def _decode_entry(self, key, item):
+        self._decoded_entries.pop(key, None)
+        if item is None:
+            return
+        decoded = platform.decode_entry(key, item.value)
+        if decoded.is_ok():
+            self._decoded_entries[key] = decoded.unwrap()
+        else:
+            log.warning(
+                "Upstream entry could not be decoded; ignored it.",
+                entry=key,
+                cause=str(decoded.unwrap_err()),
+            )
+
     def latency_baseline(self, route: HostRoute) -> LatencyBaseline:
         """Return the baseline of a route's response times."""
         if route.name not in self._baselines:
--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -10,6 +10,7 @@
     peers_to_query,
 )
 
+from .heartbeats import log_discovered
 from .messages import StateAnswer, StateQuestion
 from .peers import PeerSocket
 from .region import RegionView
@@ -195,10 +196,7 @@
         if message.members:
             self._members_source = sender
             self._members_digest = message.members_digest
-            for member in self._members.apply_relayed(message.members, now_s):
-                log.info(
-                    "Another instance discovered or restarted.", instance=member.name
-                )
+            log_discovered(self._members.apply_relayed(message.members, now_s))
         elif message.members_digest and message.members_digest == self._members_digest:
             self._members.confirm_relayed(now_s)
 
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -18,7 +18,6 @@
 CONFIGURATION_WATCH_MS = 600
 ENTRIES_WATCH_MS = 1_500
 ENTRIES_WATCH_PAUSE_S = 0.5
-READER_ROLE_POLL_INTERVAL_S = 0.15
 RETRY_DELAY_S = 0.3
 DISCOVERY_S = 0.25
 FIRST_ANSWER_TIMEOUT_S = 0.5
@@ -151,7 +150,7 @@
             if not self._gossip.is_reading:
                 connection.close()
                 revision = 0
-                await asyncio.sleep(READER_ROLE_POLL_INTERVAL_S)
+                await self._gossip.reading_begun.wait()
                 continue
             try:
                 revision = await read(connection, revision)
--- a/src/chervilpitch/policy/latency.py
+++ b/src/chervilpitch/policy/latency.py
@@ -1,6 +1,7 @@
 """Estimate of the usual response times of a route."""
 
 import math
+import statistics
 
 __all__ = ["LatencyBaseline"]
 
@@ -12,6 +13,8 @@
 TAIL_SHARE = 0.012
 TAIL_FACTOR = 3.0
 MIN_LATENCY_S = 0.001
+MAX_SURVIVAL = 0.999
+_STANDARD_NORMAL = statistics.NormalDist()
 
 
 class LatencyBaseline:
@@ -50,6 +53,10 @@
         """Median response time in seconds."""
         return math.exp(self._mu)
 
+    @property
+    def _sigma(self):
+        return max(MIN_SIGMA, math.sqrt(self._variance))
+
     def observe(self, latency_s: float) -> None:
         """Add the response time of a successful request, in seconds."""
         value = math.log(max(MIN_LATENCY_S, latency_s))
@@ -73,7 +80,24 @@
         tail = self._lognormal_survival(age_s / TAIL_FACTOR)
         return (1 - TAIL_SHARE) * body + TAIL_SHARE * tail
 
+    def min_age_s(self, survival: float) -> float:
+        """Return an age in seconds before which :meth:`survival` is larger.
+
+        Parameters
+        ----------
+        survival : float
+            Share of good responses, above 0 and below 1.
+
+        Examples
+        --------
+        >>> baseline = LatencyBaseline(aim_s=1.0)
+        >>> baseline.survival(baseline.min_age_s(0.35)) > 0.34
+        True
+        """
+        body_survival = min(MAX_SURVIVAL, survival / (1 - TAIL_SHARE))
+        score = _STANDARD_NORMAL.inv_cdf(1 - body_survival)
+        return math.exp(self._mu + score * self._sigma)
+
     def _lognormal_survival(self, age_s):
-        sigma = max(MIN_SIGMA, math.sqrt(self._variance))
-        score = (math.log(age_s) - self._mu) / (sigma * math.sqrt(2))
+        score = (math.log(age_s) - self._mu) / (self._sigma * math.sqrt(2))
         return 0.5 * math.erfc(score)
--- a/standins/store.py
+++ b/standins/store.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from urllib.parse import parse_qs
 
+from chervilpitch.gateway.buffers import BufferLimit
 from chervilpitch.gateway.http_server import (
     HttpServer,
     ServerConnection,
@@ -46,7 +47,9 @@
 
     async def start(self, host="127.0.0.1", port=0):
         """Start to listen and return the address."""
-        http_server = HttpServer(self.serve, CallerLimits, monotonic_s, MAX_BODY_BYTES)
+        http_server = HttpServer(
+            self.serve, CallerLimits, monotonic_s, BufferLimit(MAX_BODY_BYTES)
+        )
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: ServerConnection(http_server), host, port
--- a/standins/target.py
+++ b/standins/target.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 from enum import StrEnum
+from typing import NamedTuple
 
 import h11
 
@@ -25,6 +26,35 @@
     ENCODED = "encoded"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed-reset"
+    STALE_REFUSAL = "stale-refusal"
+    ENDLESS_HEAD = "endless-head"
+    ENDLESS_BODY = "endless-body"
+    ENDLESS_CHUNK_EXTENSION = "endless-chunk-extension"
+    ENDLESS_TRAILER = "endless-trailer"
+    ENDLESS_INFORMATIONAL = "endless-informational"
+
+
+class _EndlessBytes(NamedTuple):
+    """Bytes of a response that never ends: the first ones, then a piece repeatedly."""
+
+    first: bytes
+    piece: bytes
+
+
+_OK_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+_ENDLESS = {
+    Behaviour.ENDLESS_HEAD: _EndlessBytes(b"HTTP/1.1 200 OK\r\nA: ", b"a" * 4_096),
+    Behaviour.ENDLESS_BODY: _EndlessBytes(b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 65_536),
+    Behaviour.ENDLESS_CHUNK_EXTENSION: _EndlessBytes(
+        _OK_CHUNKED + b"1;e=", b"e" * 4_096
+    ),
+    Behaviour.ENDLESS_TRAILER: _EndlessBytes(
+        _OK_CHUNKED + b"1\r\nx\r\n0\r\nT: ", b"t" * 4_096
+    ),
+    Behaviour.ENDLESS_INFORMATIONAL: _EndlessBytes(
+        b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 50
+    ),
+}
 
 
 class FakeTarget:
@@ -120,6 +150,13 @@
         body = self.name.encode()
         seal = {"X-Chervilpitch-Response-Seal": "s." + self.name}
         behaviour = self.behaviour
+        if behaviour in _ENDLESS:
+            await _write_endlessly(writer, _ENDLESS[behaviour])
+            return False
+        if behaviour is Behaviour.STALE_REFUSAL:
+            fields = {"X-Chervilpitch-Not-Executed": "1"}
+            refusal = self._encode_response({}, 503, b"", fields)
+            writer.write(refusal.replace(b"X-Chervilpitch-Request-Id: \r\n", b""))
         if behaviour is Behaviour.RESET:
             _reset(writer)
             return False
@@ -179,6 +216,14 @@
                 return request.method, request.target.decode(), fields, b"".join(chunks)
 
 
+async def _write_endlessly(writer, content: _EndlessBytes):
+    writer.write(content.first)
+    while not writer.is_closing():
+        writer.write(content.piece)
+        await writer.drain()
+        await asyncio.sleep(0)
+
+
 def _reset(writer):
     """Close a connection with a reset instead of an orderly shutdown."""
     sock = writer.get_extra_info("socket")
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -5,6 +5,7 @@
 import json
 import random
 
+from chervilpitch.gateway.buffers import BufferLimit
 from chervilpitch.gateway.forward import Forwarder
 from chervilpitch.gateway.http_server import HttpServer, ServerConnection
 from chervilpitch.gateway.metrics import GatewayMetrics
@@ -21,6 +22,7 @@
 KEY = "key-of-fitters"
 ACCOUNT = "fitters"
 SERVICE = "desk"
+MAX_RESPONSES_BYTES = 1_000_000
 
 
 def route(name, kind, **fields):
@@ -61,7 +63,7 @@
 def new_state(name, clock, bounds=None, incarnation=1):
     """Return the state of a newly started instance in the region ``north``."""
     serving = int(MemberState.SERVING)
-    own = Member(name, incarnation, 0, "north", "n1", "", name, serving)
+    own = Member(name, incarnation, 0, "north", "n1", f"{name}:80", name, serving)
     location = Location("north", "n1", {"n1": "north"})
     return GatewayState(location, bounds or Bounds(), MemberTable(own), clock)
 
@@ -71,7 +73,8 @@
 
     def __init__(self, bounds=None):
         self.state = new_state("a", monotonic_s, bounds)
-        self.pool = ConnectionPool(monotonic_s)
+        self.response_buffers = BufferLimit(MAX_RESPONSES_BYTES)
+        self.pool = ConnectionPool(monotonic_s, self.response_buffers)
         forwarder = Forwarder(self.state, self.pool, monotonic_s)
         self.metrics = GatewayMetrics()
         self.request_path = RequestPath(
@@ -81,7 +84,7 @@
             self.request_path.serve,
             lambda: self.state.configuration.limits,
             monotonic_s,
-            10_000_000,
+            BufferLimit(10_000_000),
         )
         self.targets = []
         self.port = 0
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -7,7 +7,14 @@
 
 from standins.target import Behaviour, FakeTarget
 
-from .harness import GatewayHarness, encode_request, read_response
+from .harness import (
+    MAX_RESPONSES_BYTES,
+    GatewayHarness,
+    encode_request,
+    read_response,
+)
+
+MAX_SENT_BEHIND_BYTES = 32_000_000
 
 
 def run_scenario(scenario):
@@ -354,3 +361,78 @@
         assert all(float(response[1]["retry-after"]) > 0 for response in refused)
 
     run_scenario(scenario)
+
+
+def test_refusal_that_names_no_request_is_not_taken_for_this_one():
+    async def scenario():
+        target = FakeTarget("t1", Behaviour.STALE_REFUSAL)
+        harness = GatewayHarness()
+        await harness.start(target)
+        status, _, _ = await harness.send_request("/book/x", "POST", b"{}")
+        assert len(target.runs) == 1
+        assert status == 502
+
+    run_scenario(scenario)
+
+
+ENDLESS_BEHAVIOURS = [item for item in Behaviour if item.startswith("endless")]
+
+
+@pytest.mark.parametrize("behaviour", ENDLESS_BEHAVIOURS)
+def test_response_without_end_is_ended_and_its_buffer_released(behaviour):
+    async def scenario():
+        target = FakeTarget("t1", behaviour)
+        harness = GatewayHarness()
+        await harness.start(target)
+        requests = [
+            harness.send_request("/book/x", "POST", b"{}", wait_ms=1000)
+            for _ in range(4)
+        ]
+        statuses = [status for status, _, _ in await asyncio.gather(*requests)]
+        assert set(statuses) <= {502, 504}
+        assert harness.response_buffers.used_bytes == 0
+        target.behaviour = Behaviour.CORRECT
+        status, _, body = await harness.send_request("/read/x")
+        assert (status, body) == (200, b"t1")
+
+    run_scenario(scenario)
+
+
+def test_responses_are_buffered_within_a_common_limit():
+    async def scenario():
+        target = FakeTarget("t1")
+        harness = GatewayHarness()
+        await harness.start(target)
+        taken = MAX_RESPONSES_BYTES
+        assert harness.response_buffers.reserve(taken)
+        status, _, _ = await harness.send_request("/book/x", "POST", b"{}")
+        assert status == 502
+        harness.response_buffers.release(taken)
+        status, _, _ = await harness.send_request("/book/x", "POST", b"{}")
+        assert status == 200
+
+    run_scenario(scenario)
+
+
+def test_caller_that_sends_on_behind_its_request_is_not_read_without_end():
+    async def scenario():
+        target = FakeTarget("t1", service_time_s=0.8)
+        harness = GatewayHarness()
+        await harness.start(target)
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        writer.transport.set_write_buffer_limits(high=0)
+        writer.write(encode_request("/read/x"))
+        await asyncio.sleep(0.1)
+        sent_bytes = 0
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.5):
+                while sent_bytes < MAX_SENT_BEHIND_BYTES:
+                    requests = encode_request("/read/y") * 400
+                    writer.write(requests)
+                    await writer.drain()
+                    sent_bytes += len(requests)
+        status, _, _ = await read_response(reader)
+        assert status == 200
+        writer.close()
+
+    run_scenario(scenario)
