--- a/src/chervilpitch/cli/serve.py
+++ b/src/chervilpitch/cli/serve.py
@@ -6,6 +6,7 @@
 from chervilpitch import settings
 from chervilpitch.exits import ExitCode
 from chervilpitch.gateway.process import run_gateway
+from chervilpitch.gateway.settings import load_gateway
 from chervilpitch.runtime.instance import serve
 
 from .output import JSON_OPTION, print_problems
@@ -69,7 +70,7 @@
     def handle(self) -> int:
         """Run the command and return its exit code."""
         path = self.argument("file")
-        loaded = settings.load_gateway(path)
+        loaded = load_gateway(path)
         if loaded.is_err():
             print_problems(self, loaded.unwrap_err())
             return ExitCode.BAD_SETTINGS
--- a/src/chervilpitch/gateway/__main__.py
+++ b/src/chervilpitch/gateway/__main__.py
@@ -5,9 +5,9 @@
 
 from chervilpitch import platform
 from chervilpitch.exits import ExitCode
-from chervilpitch.settings import load_gateway
 
 from .process import run_gateway
+from .settings import load_gateway
 
 
 def main() -> int:
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -13,7 +13,6 @@
 from chervilpitch.model import CallerLimits
 from chervilpitch.observe import (
     BoundedLogStream,
-    LogFormat,
     SecretRegister,
     configure_logs,
     part_logger,
@@ -24,7 +23,6 @@
     MemberState,
     MemberTable,
 )
-from chervilpitch.settings import GatewaySettings, load_gateway
 from chervilpitch.transport.clock import monotonic_s, wall_ns
 
 from .buffers import BufferLimit
@@ -36,6 +34,7 @@
 from .pool import ConnectionPool
 from .request_path import RequestPath
 from .schedule import PeriodicStep, run_periodically
+from .settings import GatewaySettings, load_gateway
 from .state import GatewayState
 from .store_reader import StoreReader
 
@@ -266,8 +265,7 @@
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     logs = BoundedLogStream(sys.stdout.fileno())
-    log_format = LogFormat(settings.log.format)
-    configure_logs(logs, log_format, SecretRegister())
+    configure_logs(logs, settings.log.format, SecretRegister())
     try:
         asyncio.run(GatewayProcess(settings, path, logs).run())
     finally:
--- a/tests/settings/test_gateway.py
+++ b/tests/gateway/test_settings.py
@@ -1,8 +1,10 @@
 """Validation of the settings of a gateway instance."""
 
 import pathlib
+import subprocess
+import sys
 
-from chervilpitch.settings import load_gateway
+from chervilpitch.gateway.settings import load_gateway
 
 EXAMPLE = pathlib.Path(__file__).parents[2] / "examples" / "gateway" / "front-1.ini"
 
@@ -66,3 +68,33 @@
     path = tmp_path / "bytes.ini"
     path.write_bytes(b"\xff\xfe")
     assert load_gateway(str(path)).is_err()
+
+
+def test_unknown_sections_and_options_are_reported(tmp_path):
+    path = changed_example(
+        tmp_path, ("[store]", "[stores]\nx = 1\n[store]"), ("host =", "hosts =")
+    )
+    problems = load_gateway(path).unwrap_err()
+    assert {(item.section, item.option) for item in problems} == {
+        ("instance", "host"),
+        ("instance", "hosts"),
+        ("stores", ""),
+    }
+
+
+def test_out_of_range_values_are_reported(tmp_path):
+    path = changed_example(
+        tmp_path,
+        ("memory-mb = 300", "memory-mb = inf"),
+        ("level = info", "level = all"),
+    )
+    problems = load_gateway(path).unwrap_err()
+    assert {item.option for item in problems} == {"memory-mb", "level"}
+
+
+def test_an_instance_starts_without_the_validation_library():
+    code = "import sys, chervilpitch.gateway.__main__; print('pydantic' in sys.modules)"
+    result = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert result.stdout.strip() == "False"
