--- /dev/null
+++ b/benchmarks/gateway_decisions.py
@@ -0,0 +1,114 @@
+"""Processor time of the gateway's decisions for a request and for a report.
+
+Run ``python -m benchmarks.gateway_decisions``. Each size names the upstreams of a
+service and the instances of a region; the time of a decision should not grow with
+either.
+"""
+
+import random
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from chervilpitch.model import RequestKind, UpstreamEntry
+from chervilpitch.policy import (
+    FleetBucket,
+    LatencyBaseline,
+    Location,
+    UpstreamReport,
+    UpstreamTable,
+)
+
+CALLS = 2_000
+REPEATS = 5
+US_PER_S = 1_000_000
+DOMAINS = 9
+REGIONS = 3
+REPORTED_UPSTREAMS = 20
+START_S = 100.0
+
+
+class Size(NamedTuple):
+    """Upstreams of a service, and instances of a region that report."""
+
+    upstreams: int
+    instances: int
+
+
+SIZES = (Size(35, 12), Size(139, 98), Size(556, 392))
+
+
+class Measured(NamedTuple):
+    """Processor time of one call of each decision, in microseconds."""
+
+    choose_us: float
+    admit_us: float
+    report_us: float
+
+
+def measure(size: Size) -> Measured:
+    """Return the processor time of the decisions at a size."""
+    rng = random.Random(1)
+    table = _filled_table(size, rng)
+    bucket = FleetBucket(50.0, 50.0, 8.0, START_S)
+    for source in range(4):
+        bucket.add_report(f"sum-{source}", 100 * source, START_S)
+    baseline = LatencyBaseline(1.0)
+    draws = iter(rng.random, None)
+    report = UpstreamReport(_name(1), 1, 0.2, 1, 0, 0.0)
+    return Measured(
+        _call_us(
+            lambda: table.choose(
+                "desk", RequestKind.UNSAFE, baseline, frozenset(), START_S, draws
+            )
+        ),
+        _call_us(lambda: bucket.admit(START_S)),
+        _call_us(lambda: table.add_reports((report,), "i1:1", START_S)),
+    )
+
+
+def _filled_table(size: Size, rng: random.Random) -> UpstreamTable:
+    region_of = {f"d{index}": f"r{index % REGIONS}" for index in range(DOMAINS)}
+    table = UpstreamTable(Location("r0", "d0", region_of))
+    entries = [
+        UpstreamEntry(
+            _name(index), "desk", "h:1", f"d{index % DOMAINS}", 4, False, 0.0, 1, 1
+        )
+        for index in range(size.upstreams)
+    ]
+    table.update_entries(entries, START_S)
+    for instance in range(size.instances):
+        reports = [
+            UpstreamReport(_name(rng.randrange(size.upstreams)), 1, 0.2, 1, 0, 0.0)
+            for _ in range(REPORTED_UPSTREAMS)
+        ]
+        table.add_reports(reports, f"i{instance}:1", START_S)
+    return table
+
+
+def _name(index: int) -> str:
+    return f"u{index}"
+
+
+def _call_us(call: Callable[[], object]) -> float:
+    """Return the least processor time of a call over several repeats."""
+    times_s = []
+    for _ in range(REPEATS):
+        started_s = time.process_time()
+        for _ in range(CALLS):
+            call()
+        times_s.append(time.process_time() - started_s)
+    return min(times_s) / CALLS * US_PER_S
+
+
+def main() -> None:
+    """Print a row for each size."""
+    print("upstreams instances choose_us admit_us report_us")
+    for size in SIZES:
+        row = measure(size)
+        times = " ".join(f"{value:.1f}" for value in row)
+        print(size.upstreams, size.instances, times)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/chervilpitch/gateway/forward.py
+++ b/src/chervilpitch/gateway/forward.py
@@ -2,20 +2,18 @@
 
 import asyncio
 import random
-from enum import StrEnum
 from typing import NamedTuple
 
-from chervilpitch import platform
-from chervilpitch.model import HostRoute, RefusalKind
+from chervilpitch.model import RefusalKind
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import Choice, is_overloaded, retry_after_s
 
-from .http_client import ClientResponse, ExchangeError, FailureKind, HttpRequest
-from .http_server import ServerRequest
+from .attempt import AttemptOutcome, AttemptRunner, OutgoingRequest
+from .http_client import ClientResponse
 from .pool import ConnectionPool
 from .state import GatewayState
 
-__all__ = ["ForwardResult", "Forwarder", "OutgoingRequest"]
+__all__ = ["ForwardResult", "Forwarder"]
 
 log = part_logger("forward")
 
@@ -26,33 +24,6 @@
 MAX_UPSTREAMS_TRIED = 5
 
 
-class OutgoingRequest(NamedTuple):
-    """A request to forward.
-
-    Parameters
-    ----------
-    request : ServerRequest
-        The caller's request.
-    request_id : str
-        Id of the caller's attempt.
-    route : HostRoute
-        Its route.
-    service : str
-        Name of the service whose upstreams may serve it.
-    account : str
-        Name of the client account; empty for none.
-    deadline_at_s : float
-        Deadline in monotonic seconds; a later response is of no use to the caller.
-    """
-
-    request: ServerRequest
-    request_id: str
-    route: HostRoute
-    service: str
-    account: str
-    deadline_at_s: float
-
-
 class ForwardResult(NamedTuple):
     """Result of forwarding a request.
 
@@ -77,22 +48,6 @@
     retry_after_s: float | None = None
 
 
-class AttemptOutcome(StrEnum):
-    """Outcome of one attempt."""
-
-    SERVED = "served"
-    FAILED_RESPONSE = "failed-answer"
-    NOT_RUN = "not-run"
-    UNREACHABLE = "unreachable"
-    FAILED = "failed"
-
-
-class _AttemptResult(NamedTuple):
-    outcome: AttemptOutcome
-    response: ClientResponse | None = None
-    cause: str = ""
-
-
 class _Progress:
     """State of the attempts to serve one request."""
 
@@ -119,7 +74,7 @@
 
     def __init__(self, state: GatewayState, pool: ConnectionPool, clock):
         self._state = state
-        self._pool = pool
+        self._runner = AttemptRunner(state, pool, clock)
         self._clock = clock
 
     async def forward(self, outgoing: OutgoingRequest) -> ForwardResult:
@@ -209,7 +164,9 @@
             self._state.retry_budget(outgoing.service).count_retry(now_s)
         progress.sent_count += 1
         progress.tried_upstreams.append(choice.upstream.entry.name)
-        task = asyncio.get_running_loop().create_task(self._attempt(outgoing, choice))
+        task = asyncio.get_running_loop().create_task(
+            self._runner.run(outgoing, choice)
+        )
         progress.running[task] = choice
         return None
 
@@ -300,100 +257,6 @@
         retry_s = base_s * (0.5 + random.random())
         return ForwardResult(None, refusal, False, tried, retry_s)
 
-    async def _attempt(self, outgoing, choice) -> _AttemptResult:
-        upstream = choice.upstream
-        name = upstream.entry.name
-        number = self._state.upstreams.next_attempt_number()
-        upstream.start_attempt(
-            number, self._state.latency_baseline(outgoing.route), self._clock()
-        )
-        try:
-            acquired = await self._pool.acquire(name, upstream.entry.address)
-        except ExchangeError:
-            upstream.record_unreachable(number, self._clock())
-            return _AttemptResult(
-                AttemptOutcome.UNREACHABLE, cause=FailureKind.NOT_CONNECTED
-            )
-        except asyncio.CancelledError:
-            upstream.record_not_run(number)
-            raise
-        try:
-            response = await acquired.connection.exchange(
-                self._upstream_request(outgoing, name),
-                _mismatch_test(outgoing.request_id),
-            )
-        except ExchangeError as error:
-            self._pool.close_idle(name)
-            if acquired.is_reused and error.kind is FailureKind.RESET:
-                upstream.record_not_run(number)
-            else:
-                upstream.record_failure(number, self._clock())
-            return _AttemptResult(AttemptOutcome.FAILED, cause=error.kind)
-        except asyncio.CancelledError:
-            upstream.record_abandoned(number, self._clock())
-            if acquired.is_reused:
-                self._pool.close_idle(name)
-            raise
-        return self._classify_response(outgoing, choice, number, acquired, response)
-
-    def _upstream_request(self, outgoing, upstream) -> HttpRequest:
-        request = outgoing.request
-        remaining_s = max(0.0, outgoing.deadline_at_s - self._clock())
-        headers = platform.upstream_headers(
-            request.headers, upstream, outgoing.account, remaining_s
-        )
-        return HttpRequest(request.method, request.target, headers, request.body)
-
-    def _classify_response(
-        self, outgoing, choice, number, acquired, response
-    ) -> _AttemptResult:
-        upstream = choice.upstream
-        now_s = self._clock()
-        metadata = platform.parse_response_metadata(response.status, response.headers)
-        if outgoing.request_id and metadata.request_id != outgoing.request_id:
-            acquired.connection.close()
-            upstream.record_failure(number, now_s)
-            cause = "response without the request's id"
-            return _AttemptResult(AttemptOutcome.FAILED, cause=cause)
-        if metadata.load is not None:
-            upstream.record_load(metadata.load[0], metadata.load[1], now_s)
-        self._pool.release(
-            upstream.entry.name, acquired.connection, metadata.idle_for_s
-        )
-        if metadata.is_not_run:
-            if metadata.is_misdirected:
-                upstream.record_not_run(number)
-                upstream.mark_misdirected()
-            else:
-                upstream.record_shed(number, now_s)
-            return _AttemptResult(
-                AttemptOutcome.NOT_RUN, cause=f"not-run {response.status}"
-            )
-        is_success = 200 <= response.status < 300
-        if metadata.is_encoded or (is_success and not metadata.is_sealed):
-            upstream.record_failure(number, now_s)
-            return _AttemptResult(
-                AttemptOutcome.FAILED, cause="not the upstream's body"
-            )
-        if response.status >= 500:
-            upstream.record_failure(number, now_s)
-            cause = f"answered {response.status}"
-            return _AttemptResult(AttemptOutcome.FAILED_RESPONSE, response, cause)
-        upstream.record_success(number, now_s)
-        return _AttemptResult(AttemptOutcome.SERVED, response)
-
-
-def _mismatch_test(request_id: str):
-    """Return a predicate for responses whose request id is that of another request."""
-
-    def is_mismatched(response: ClientResponse) -> bool:
-        response_id = platform.parse_response_metadata(
-            response.status, response.headers
-        ).request_id
-        return bool(response_id) and response_id != request_id
-
-    return is_mismatched
-
 
 def _milliseconds(seconds: float) -> int:
     return round(seconds * 1000)
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -29,11 +29,12 @@
 from .directory import AddressDirectory
 from .forward import Forwarder
 from .gossip import Gossip
-from .http_server import HttpServer, ServerConnection, ServerResponse
+from .http_server import HttpServer, ServerResponse
 from .metrics import GatewayMetrics
 from .pool import ConnectionPool
 from .request_path import RequestPath
 from .schedule import PeriodicStep, run_periodically
+from .server_connection import ServerConnection
 from .settings import GatewaySettings, load_gateway
 from .state import GatewayState
 from .store_reader import StoreReader
--- a/src/chervilpitch/gateway/request_path.py
+++ b/src/chervilpitch/gateway/request_path.py
@@ -13,7 +13,8 @@
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import pick_service
 
-from .forward import Forwarder, ForwardResult, OutgoingRequest
+from .attempt import OutgoingRequest
+from .forward import Forwarder, ForwardResult
 from .http_server import ServerRequest, ServerResponse
 from .metrics import GatewayMetrics
 from .state import GatewayState
--- /dev/null
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -0,0 +1,239 @@
+"""Connections from callers."""
+
+import asyncio
+from http import HTTPStatus
+
+import h11
+
+from chervilpitch.observe import part_logger
+
+from .http_server import HttpServer, ServerRequest, ServerResponse
+
+__all__ = ["ServerConnection"]
+
+log = part_logger("callers")
+
+CONNECTION_CLOSE = (b"Connection", b"close")
+CONTINUE_RESPONSE = h11.InformationalResponse(status_code=100, headers=[])
+LINGER_S = 1.0
+MAX_PIPELINED_BYTES = 65_536
+"""Bytes received behind a request in progress, above which reading is paused."""
+
+
+class ServerConnection(asyncio.Protocol):
+    """A connection from a caller.
+
+    Parameters
+    ----------
+    server : HttpServer
+        State shared by the connections.
+    """
+
+    def __init__(self, server: HttpServer):
+        self._server = server
+        self._limits = server.limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+        self._transport = None
+        self._head = None
+        self._body_parts: list[bytes] = []
+        self._body_bytes = 0
+        self._head_received_at_s = 0.0
+        self._idle_until_s = server.clock() + self._limits.header_timeout_s
+        self._task: asyncio.Task | None = None
+        self._pipelined_bytes = 0
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or served."""
+        return self._task is not None or self._head is not None
+
+    def connection_made(self, transport) -> None:
+        """Keep the transport and register the connection."""
+        self._transport = transport
+        self._server.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the request in progress; its response can't be delivered."""
+        self._server.discard(self)
+        self._release_body()
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; reject a request that is not valid HTTP/1.1."""
+        if self._task is not None:
+            self._limit_pipelined(len(data))
+        try:
+            self._http.receive_data(data)
+            self._process_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint)
+
+    def eof_received(self) -> bool:
+        """Close the connection, because a half-closed one counts as disconnected."""
+        return False
+
+    def close(self) -> None:
+        """Close after the buffered bytes are written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def check_timeout(self, now_s: float) -> None:
+        """Close the connection if its timeout has passed.
+
+        If the body of a request is incomplete, the response is a 408.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        """
+        if self._task is not None or now_s < self._idle_until_s:
+            return
+        if self._head is not None or self._http.their_state is h11.SEND_BODY:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        else:
+            self.close()
+
+    def _limit_pipelined(self, size_bytes):
+        """Pause reading if much was sent behind a request in progress."""
+        self._pipelined_bytes += size_bytes
+        if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+            self._transport.pause_reading()
+
+    def _resume_reading(self):
+        if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+            self._transport.resume_reading()
+        self._pipelined_bytes = 0
+
+    def _process_events(self):
+        while self._task is None:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._send_continue_if_expected()
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return
+            if isinstance(event, h11.Request):
+                self._begin_request(event)
+            elif isinstance(event, h11.Data):
+                self._append_body(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._start_serving()
+
+    def _begin_request(self, head):
+        self._head = head
+        self._head_received_at_s = self._server.clock()
+        self._idle_until_s = self._head_received_at_s + self._limits.idle_timeout_s
+        if _header_size(head) > self._limits.max_header_bytes:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            return
+        length = dict(head.headers).get(b"content-length", b"0")
+        if int(length) > self._limits.max_body_bytes:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def _append_body(self, data):
+        self._idle_until_s = self._server.clock() + self._limits.idle_timeout_s
+        if self._body_bytes + len(data) > self._limits.max_body_bytes:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif not self._server.buffers.reserve(len(data)):
+            log.warning(
+                "Request body refused: the buffer for bodies is full.",
+                bytes=self._body_bytes + len(data),
+            )
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+        else:
+            self._body_parts.append(data)
+            self._body_bytes += len(data)
+
+    def _send_continue_if_expected(self):
+        if self._http.they_are_waiting_for_100_continue:
+            self._transport.write(self._http.send(CONTINUE_RESPONSE))
+
+    def _start_serving(self):
+        request = ServerRequest(
+            self._head.method,
+            self._head.target,
+            list(self._head.headers),
+            b"".join(self._body_parts),
+            self._head_received_at_s,
+        )
+        self._body_parts = []
+        self._task = asyncio.get_running_loop().create_task(self._respond(request))
+
+    async def _respond(self, request):
+        try:
+            response = await self._server.serve(request)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            log.exception("Serving a request raised an exception; responding 502.")
+            response = ServerResponse(HTTPStatus.BAD_GATEWAY, [])
+        self._task = None
+        self._release_body()
+        if not self._transport.is_closing():
+            self._send(response)
+
+    def _send(self, response):
+        self._head = None
+        is_last = self._server.is_closing or self._http.their_state is not h11.DONE
+        self._write_response(response, is_last)
+        if is_last or self._http.our_state is not h11.DONE:
+            self.close()
+            return
+        self._http.start_next_cycle()
+        self._resume_reading()
+        self._idle_until_s = self._server.clock() + self._limits.idle_timeout_s
+        try:
+            self._process_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint)
+
+    def _write_response(self, response, is_last):
+        headers = [*response.headers, (b"Content-Length", b"%d" % len(response.body))]
+        if is_last:
+            headers.append(CONNECTION_CLOSE)
+        head = h11.Response(
+            status_code=int(response.status),
+            headers=headers,
+            reason=_reason(response.status),
+        )
+        parts = [self._http.send(head)]
+        if response.body:
+            parts.append(self._http.send(h11.Data(data=response.body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self._transport.write(b"".join(parts))
+
+    def _reject(self, status):
+        """Respond to a request that can't be read, and close."""
+        self._head = None
+        self._release_body()
+        self._idle_until_s = self._server.clock() + LINGER_S
+        if self._transport.is_closing():
+            return
+        log.info(
+            "Request rejected: invalid, too large, timed out or body buffer full.",
+            status=int(status),
+        )
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self._write_response(ServerResponse(int(status), []), True)
+        self.close()
+
+    def _release_body(self):
+        self._server.buffers.release(self._body_bytes)
+        self._body_bytes = 0
+        self._body_parts = []
+
+
+def _header_size(head: h11.Request) -> int:
+    fields = sum(len(name) + len(value) for name, value in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
--- a/standins/store.py
+++ b/standins/store.py
@@ -9,9 +9,9 @@
 from chervilpitch.gateway.buffers import BufferLimit
 from chervilpitch.gateway.http_server import (
     HttpServer,
-    ServerConnection,
     ServerResponse,
 )
+from chervilpitch.gateway.server_connection import ServerConnection
 from chervilpitch.model import CallerLimits
 from chervilpitch.transport.clock import monotonic_s
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -7,10 +7,11 @@
 
 from chervilpitch.gateway.buffers import BufferLimit
 from chervilpitch.gateway.forward import Forwarder
-from chervilpitch.gateway.http_server import HttpServer, ServerConnection
+from chervilpitch.gateway.http_server import HttpServer
 from chervilpitch.gateway.metrics import GatewayMetrics
 from chervilpitch.gateway.pool import ConnectionPool
 from chervilpitch.gateway.request_path import RequestPath
+from chervilpitch.gateway.server_connection import ServerConnection
 from chervilpitch.gateway.state import GatewayState
 from chervilpitch.model import StoreItem
 from chervilpitch.platform import CONFIGURATION_KEY, ENTRY_PREFIX, Bounds
