--- a/src/chervilpitch/policy/placement.py
+++ b/src/chervilpitch/policy/placement.py
@@ -179,21 +179,21 @@
         far = _sample_usable(upstreams.far, excluded, now_s, random_numbers)
         if not near and not far:
             return None
+        typical_s = min(baseline.median_s, baseline.aim_s / 2)
         if next(random_numbers) < EXPLORE_SHARES[kind]:
             explored = self._explore(near, kind, now_s)
             if explored is not None:
-                return Choice(explored, self._expected_s(explored, baseline, now_s))
+                load = explored.load(now_s)
+                expected_s = _expected_s(explored, load, typical_s, now_s)
+                return Choice(explored, expected_s)
         candidates = [*near, *far]
-        costs = [
-            (
-                self._cost_s(state, kind, baseline, now_s)
-                + next(random_numbers) * MAX_JITTER_S,
-                index,
-            )
-            for index, state in enumerate(candidates)
+        costs_s = [
+            self._cost_s(state, kind, typical_s, now_s)
+            + next(random_numbers) * MAX_JITTER_S
+            for state in candidates
         ]
-        best = candidates[min(costs)[1]]
-        return Choice(best, self._expected_s(best, baseline, now_s))
+        best = candidates[costs_s.index(min(costs_s))]
+        return Choice(best, _expected_s(best, best.load(now_s), typical_s, now_s))
 
     def add_reports(
         self, reports: Iterable[UpstreamReport], source: str, now_s: float
@@ -252,23 +252,15 @@
         is_healthy = state.failure_probability(now_s) < UNSAFE_MAX_FAILURE_PROBABILITY
         return state if untried_s > UNSAFE_EXPLORE_AFTER_S and is_healthy else None
 
-    def _cost_s(self, state, kind, baseline, now_s):
-        failure_cost_s = FAILURE_COSTS_S[kind] * state.failure_probability(now_s)
-        load_cost_s = LOAD_COST_PER_REQUEST_S * state.load(now_s)
-        distance_cost_s = self._distance_cost_s(state, kind)
+    def _cost_s(self, state, kind, typical_s, now_s):
+        load = state.load(now_s)
         return (
-            self._expected_s(state, baseline, now_s)
-            + failure_cost_s
-            + load_cost_s
-            + distance_cost_s
+            _expected_s(state, load, typical_s, now_s)
+            + FAILURE_COSTS_S[kind] * state.failure_probability(now_s)
+            + LOAD_COST_PER_REQUEST_S * load
+            + self._distance_cost_s(state, kind)
         )
 
-    def _expected_s(self, state, baseline, now_s):
-        slots = state.entry.slots
-        queued = max(0, state.load(now_s) + 1 - slots)
-        typical_s = min(baseline.median_s, baseline.aim_s / 2)
-        return typical_s * state.slowness(now_s) * (1 + queued / slots)
-
     def _distance_cost_s(self, state, kind):
         domain = state.entry.failure_domain
         if domain == self._location.failure_domain:
@@ -283,6 +275,12 @@
         return region == self._location.region
 
 
+def _expected_s(state, load, typical_s, now_s):
+    slots = state.entry.slots
+    queued = max(0, load + 1 - slots)
+    return typical_s * state.slowness(now_s) * (1 + queued / slots)
+
+
 def _sample_usable(states, excluded, now_s, random_numbers) -> list[UpstreamState]:
     """Return the usable upstreams among all of a few, or among a random sample.
 
--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -93,9 +93,12 @@
             whole one there is no tolerance, as the others can't be heard.
         """
         self._refill(now_s)
-        if share != self._share:
-            self._share = share
-            self._level = min(self._level, self._burst * share)
+        if self._share == 1.0 and share < 1.0:
+            # The others use the burst; and requests that were admitted here since
+            # they were last heard are not known to them.
+            self._level = min(self._level, 0.0)
+        self._share = share
+        self._level = min(self._level, max(0.0, self._burst * share))
         if self._level - self._unreported(now_s) < self._required_level(now_s):
             return False
         self._level -= 1
--- a/src/chervilpitch/policy/upstream_state.py
+++ b/src/chervilpitch/policy/upstream_state.py
@@ -280,6 +280,8 @@
         self._slowness_at_s = now_s
 
     def _current_slowness(self, now_s):
+        if self._slowness == 1.0:
+            return 1.0
         decay = math.exp(-max(0.0, now_s - self._slowness_at_s) / SLOWNESS_DECAY_S)
         return 1 + (self._slowness - 1) * decay
 
@@ -292,6 +294,8 @@
         self._unreported.add(self)
 
     def _own_lateness(self, now_s):
+        if not self._pending:
+            return 0.0
         return sum(item.lateness(now_s) for item in self._pending.values())
 
     def _total_lateness(self, now_s):
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -188,3 +188,11 @@
     bucket.add_report("a", 500, 20.0)
     assert not bucket.admit(24.0)
     assert bucket.admit(26.0)
+
+
+def test_bucket_that_loses_contact_has_no_burst_left():
+    bucket = FleetBucket(rate_per_s=10.0, burst=50.0, tolerance=TOLERANCE, now_s=0.0)
+    assert bucket.admit(20.0)
+    assert not any(bucket.admit(20.1, share=0.1) for _ in range(20))
+    admitted = sum(bucket.admit(21.0 + step * 0.01, share=0.1) for step in range(500))
+    assert 1 <= admitted <= 10.0 * 0.1 * 6 + 1
