--- a/src/chervilpitch/policy/replica.py
+++ b/src/chervilpitch/policy/replica.py
@@ -55,7 +55,13 @@
         return changed
 
     def replace(self, items: Iterable[StoreItem], revision: int) -> tuple[str, ...]:
-        """Apply a complete list and return the keys that changed."""
+        """Apply a complete list and return the keys that changed.
+
+        A list older than this replica is ignored: an item that it names and that is
+        unknown here was removed since, perhaps without a tombstone here.
+        """
+        if revision < self._revision:
+            return ()
         listed = tuple(items)
         present = {item.key for item in listed}
         missing = [
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -9,6 +9,8 @@
 
 from .harness import SERVICE, configuration, encode_json, new_state
 
+PROOF_AGE_S = 60.0
+
 
 class FakeNetwork:
     """In-memory network that delivers datagrams at once, on a manual clock."""
@@ -130,3 +132,34 @@
             gossip.send_heartbeat()
     for gossip in gossips:
         assert len(gossip._members.live(network.now_s)) == len(names) - 1
+
+
+def test_restarted_instance_is_not_ready_with_state_of_an_outdated_peer():
+    network, reader_state, requester, requester_state = reader_and_requester()
+    item = StoreItem(CONFIGURATION_KEY, encode_json(configuration(3)), 6)
+    reader_state.apply_configuration_items((item,), network.now_s - PROOF_AGE_S)
+    request_state(network, requester)
+    assert requester_state.configuration.version == 3
+    assert not requester_state.is_ready()
+    assert not requester_state.freshness.may_use_keys(network.now_s)
+
+
+def test_upstream_that_left_stays_unlisted_after_a_late_older_answer():
+    """An instance that has just started holds no tombstone of the upstream."""
+    network, reader_state, requester, requester_state = reader_and_requester()
+    outdated, outdated_state = network.add_instance("outdated")
+    known = (entry_item("t1", 5), entry_item("t2", 6))
+    for state in (reader_state, outdated_state):
+        state.apply_entry_items(known, 6, True)
+    removed = StoreItem(ENTRY_PREFIX + "t1", b"", 9, True)
+    reader_state.apply_entry_items((removed,), 9, False)
+    questions = []
+    requester.socket.send = lambda addresses, message: questions.append(message)
+    requester._states._ask(reader_state.members.own, False, network.now_s)
+    requester._states._ask(outdated_state.members.own, False, network.now_s)
+    for gossip, question in zip(
+        (network.gossips["reader"], outdated), questions, strict=True
+    ):
+        gossip.receive(Datagram("asker", 1, question), "asker")
+    assert requester_state.upstreams.get("t2") is not None
+    assert requester_state.upstreams.get("t1") is None
