--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -108,18 +108,20 @@
         return self._is_closing
 
     @property
-    def busy_count(self) -> int:
-        """Number of connections with a request in progress."""
-        return sum(connection.is_busy for connection in self._open)
+    def active_count(self) -> int:
+        """Number of connections with a request in progress, or too new to have one."""
+        now_s = self._clock()
+        return sum(connection.is_active(now_s) for connection in self._open)
 
     def close_after_responses(self) -> None:
         """Close each connection after its next response."""
         self._is_closing = True
 
     def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
+        """Close the connections that neither have nor are about to send a request."""
+        now_s = self._clock()
         for connection in tuple(self._open):
-            if not connection.is_busy:
+            if not connection.is_active(now_s):
                 connection.close()
 
     def close_timed_out(self) -> None:
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -232,7 +232,7 @@
         await asyncio.sleep(max(0.0, accepting_s))
         self._listener.close()
         self._caller_server.close_idle()
-        while self._caller_server.busy_count and monotonic_s() < end_at_s:
+        while self._caller_server.active_count and monotonic_s() < end_at_s:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             self._caller_server.close_idle()
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -16,6 +16,7 @@
 CONNECTION_CLOSE = (b"Connection", b"close")
 CONTINUE_RESPONSE = h11.InformationalResponse(status_code=100, headers=[])
 LINGER_S = 1.0
+FIRST_REQUEST_S = 0.5
 MAX_PIPELINED_BYTES = 65_536
 """Bytes received behind a request in progress, above which reading is paused."""
 
@@ -43,11 +44,7 @@
         self._idle_until_s = server.clock() + self._limits.header_timeout_s
         self._task: asyncio.Task | None = None
         self._pipelined_bytes = 0
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether a request is being received or served."""
-        return self._task is not None or self._head is not None
+        self._first_request_until_s = server.clock() + FIRST_REQUEST_S
 
     def connection_made(self, transport) -> None:
         """Keep the transport and register the connection."""
@@ -75,6 +72,15 @@
         """Close the connection, because a half-closed one counts as disconnected."""
         return False
 
+    def is_active(self, now_s: float) -> bool:
+        """Return whether a request is being received or served, or is on its way.
+
+        A caller that has just connected has mostly sent its first request already.
+        """
+        if self._task is not None or self._head is not None:
+            return True
+        return now_s < self._first_request_until_s
+
     def close(self) -> None:
         """Close after the buffered bytes are written."""
         if self._transport is not None:
@@ -125,6 +131,7 @@
 
     def _begin_request(self, head):
         self._head = head
+        self._first_request_until_s = float("-inf")
         self._head_received_at_s = self._server.clock()
         self._idle_until_s = self._head_received_at_s + self._limits.idle_timeout_s
         if _header_size(head) > self._limits.max_header_bytes:
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -436,3 +436,23 @@
         writer.close()
 
     run_scenario(scenario)
+
+
+def test_caller_that_has_just_connected_is_served_during_a_stop():
+    async def scenario():
+        target = FakeTarget("t1")
+        harness = GatewayHarness()
+        await harness.start(target)
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        await asyncio.sleep(0.05)
+        harness.http_server.close_after_responses()
+        harness.http_server.close_idle()
+        assert harness.http_server.active_count == 1
+        writer.write(encode_request("/book/x", "POST", b"{}"))
+        status, headers, _ = await read_response(reader)
+        assert (status, headers["connection"]) == (200, "close")
+        assert await reader.read() == b""
+        assert harness.http_server.active_count == 0
+        writer.close()
+
+    run_scenario(scenario)
