--- a/src/chervilpitch/gateway/codec.py
+++ b/src/chervilpitch/gateway/codec.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from chervilpitch.errors import FrameError
-from chervilpitch.transport.structs import to_plain, to_typed
+from chervilpitch.transport.structs import read_struct, to_plain
 
 from .messages import (
     Evidence,
@@ -83,21 +83,22 @@
         is malformed or holds a message type that this version does not know.
     """
     try:
-        fields = SCHEMA.Envelope.from_bytes_packed(
+        envelope = SCHEMA.Envelope.from_bytes_packed(
             _decompressed(payload),
             traversal_limit_in_words=MAX_MESSAGE_BYTES // BYTES_PER_WORD,
-        ).to_dict()
-        if fields["version"] != VERSION:
+        )
+        if envelope.version != VERSION:
             return Err(FrameError("UnknownVersion"))
-        name, content = next(iter(fields["body"].items()))
-        message = to_typed(MESSAGE_TYPES[name], content, by_column=True)
-        return Ok(Datagram(fields["sender"], fields["incarnation"], message))
+        body = envelope.body
+        name = str(body.which())
+        message = read_struct(MESSAGE_TYPES[name], getattr(body, name))
+        return Ok(Datagram(envelope.sender, envelope.incarnation, message))
     except (
         capnp.KjException,
+        AttributeError,
         KeyError,
         TypeError,
         ValueError,
-        StopIteration,
         zlib.error,
     ) as error:
         return Err(FrameError(type(error).__name__))
--- a/src/chervilpitch/transport/structs.py
+++ b/src/chervilpitch/transport/structs.py
@@ -6,11 +6,12 @@
 """
 
 import functools
+import operator
 import typing
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
-__all__ = ["to_plain", "to_typed"]
+__all__ = ["read_struct", "to_plain", "to_typed"]
 
 
 class _Field(NamedTuple):
@@ -49,7 +50,7 @@
     return value
 
 
-def to_typed(kind: Any, value: Any, by_column: bool = False) -> Any:
+def to_typed(kind: Any, value: Any) -> Any:
     """Convert a mapping with the field names of a struct to a value of a type.
 
     Parameters
@@ -57,51 +58,70 @@
     kind : type
         Type of the result: a NamedTuple, a tuple or a plain type.
     value : object
-        Result of :func:`to_plain`.
-    by_column : bool
-        Whether lists of flat records are stored as columns.
+        Result of :func:`to_plain` without columns.
 
     Raises
     ------
     KeyError, TypeError, ValueError
-        The value does not match the type, or columns differ in length.
+        The value does not match the type.
     """
-    convert = _converter(kind, by_column)
+    convert = _converter(kind, operator.getitem, False)
     return value if convert is None else convert(value)
 
 
+def read_struct(kind: type, reader: Any) -> Any:
+    """Convert a struct, whose lists of flat records are columns, to a NamedTuple.
+
+    Parameters
+    ----------
+    kind : type
+        A NamedTuple.
+    reader : object
+        Reader of the struct, with a field of the struct as each attribute.
+
+    Raises
+    ------
+    AttributeError, TypeError, ValueError, capnp.KjException
+        The struct does not match the type, or columns differ in length.
+    """
+    return _converter(kind, getattr, True)(reader)
+
+
 @functools.cache
-def _converter(kind: Any, by_column: bool) -> Callable[[Any], Any] | None:
+def _converter(
+    kind: Any, get: Callable[[Any, str], Any], by_column: bool
+) -> Callable[[Any], Any] | None:
     """Return the function that converts a value to a type; None if it needs none.
 
     It is worked out once a type, as messages hold many values of few types.
     """
     if hasattr(kind, "_fields"):
-        return _struct_converter(kind, by_column)
+        return _struct_converter(kind, get, by_column)
     if typing.get_origin(kind) is not tuple:
         return None
     item_kind = _item_kind(kind)
     if by_column and _is_table(kind):
-        return _table_converter(item_kind)
-    convert = _converter(item_kind, by_column)
+        return _table_converter(item_kind, get)
+    convert = _converter(item_kind, get, by_column)
     return tuple if convert is None else lambda value: tuple(map(convert, value))
 
 
-def _struct_converter(kind, by_column) -> Callable[[Mapping[str, Any]], Any]:
+def _struct_converter(kind, get, by_column) -> Callable[[Any], Any]:
     converters = tuple(
-        (field.struct_name, _converter(field.kind, by_column))
+        (field.struct_name, _converter(field.kind, get, by_column))
         for field in _fields_of(kind)
     )
     return lambda value: kind._make(
-        convert(value[name]) if convert else value[name] for name, convert in converters
+        convert(get(value, name)) if convert else get(value, name)
+        for name, convert in converters
     )
 
 
-def _table_converter(kind) -> Callable[[Mapping[str, Any]], Any]:
+def _table_converter(kind, get) -> Callable[[Any], Any]:
     names = tuple(field.struct_name for field in _fields_of(kind))
 
     def convert(value):
-        columns = (value[name] for name in names)
+        columns = (get(value, name) for name in names)
         return tuple(map(kind._make, zip(*columns, strict=True)))
 
     return convert
