--- a/src/chervilpitch/gateway/codec.py
+++ b/src/chervilpitch/gateway/codec.py
@@ -13,7 +13,7 @@
 from .messages import (
     Evidence,
     InstanceEvidence,
-    MemberWords,
+    MemberRecords,
     RegionUsage,
     RelayedEvidence,
     StateAnswer,
@@ -30,7 +30,7 @@
 UNCOMPRESSED, COMPRESSED = b"\0", b"\1"
 
 MESSAGE_TYPES = {
-    "memberWords": MemberWords,
+    "memberRecords": MemberRecords,
     "evidence": Evidence,
     "regionUsage": RegionUsage,
     "stateQuestion": StateQuestion,
--- a/src/chervilpitch/gateway/gateway.capnp
+++ b/src/chervilpitch/gateway/gateway.capnp
@@ -8,7 +8,7 @@
   sender @1 :Text;
   incarnation @2 :UInt64;
   body :union {
-    memberWords @3 :MemberWords;
+    memberRecords @3 :MemberRecords;
     evidence @4 :Evidence;
     regionUsage @5 :RegionUsage;
     stateQuestion @6 :StateQuestion;
@@ -21,7 +21,7 @@
 struct Members {
   name @0 :List(Text);
   incarnation @1 :List(UInt64);
-  beat @2 :List(UInt32);
+  heartbeatCount @2 :List(UInt32);
   region @3 :List(Text);
   failureDomain @4 :List(Text);
   callersAddress @5 :List(Text);
@@ -29,7 +29,7 @@
   state @7 :List(UInt32);
 }
 
-struct MemberWords {
+struct MemberRecords {
   members @0 :Members;
   isReplyWanted @1 :Bool;
 }
--- a/src/chervilpitch/gateway/gossip.py
+++ b/src/chervilpitch/gateway/gossip.py
@@ -12,7 +12,7 @@
 from .messages import (
     Evidence,
     InstanceEvidence,
-    MemberWords,
+    MemberRecords,
     RegionUsage,
     RelayedEvidence,
     StateAnswer,
@@ -142,7 +142,7 @@
         raise TypeError(f"no handler is registered for {type(message).__name__}")
 
     @_handle.register
-    def _(self, message: MemberWords, datagram, address):
+    def _(self, message: MemberRecords, datagram, address):
         self._heartbeats.receive(message, datagram.sender, address)
 
     @_handle.register
--- a/src/chervilpitch/gateway/heartbeats.py
+++ b/src/chervilpitch/gateway/heartbeats.py
@@ -6,7 +6,7 @@
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import Member, MemberState, aggregators_of
 
-from .messages import MemberWords
+from .messages import MemberRecords
 from .peers import PeerSocket
 from .region import RegionView
 from .state import GatewayState
@@ -91,9 +91,9 @@
             self._send([self._region.aggregator], (own,))
         region_count = len(self._region.ranked) - 1
         if not region_count or random.random() < 1 / (4 * region_count):
-            self._socket.send(self._other_seeds(), MemberWords((own,), True))
+            self._socket.send(self._other_seeds(), MemberRecords((own,), True))
         elif is_starting:
-            self._socket.send(self._random_seed(), MemberWords((own,), True))
+            self._socket.send(self._random_seed(), MemberRecords((own,), True))
 
     def announce_leaving(self) -> None:
         """Send a heartbeat that this instance is leaving to those that relay it.
@@ -104,9 +104,9 @@
         now_s = self._clock()
         own = self._members.heartbeat(MemberState.LEAVING)
         self._region.refresh()
-        words = MemberWords((own,), False)
+        records = MemberRecords((own,), False)
         group = self._region.group.addresses(now_s).values()
-        self._socket.send(list(group), words)
+        self._socket.send(list(group), records)
         self._send(self._region.other_aggregators, (own,))
         for members in self._members.in_other_regions(now_s).values():
             self._send(members[:DISTANT_MEMBERS], (own,))
@@ -124,12 +124,12 @@
             aggregators = aggregators_of(members) or members
             self._send({members[0], random.choice(aggregators)}, ranked)
 
-    def receive(self, message: MemberWords, sender: str, address: str) -> None:
+    def receive(self, message: MemberRecords, sender: str, address: str) -> None:
         """Record members; pass on those of other regions, and reply if requested.
 
         Parameters
         ----------
-        message : MemberWords
+        message : MemberRecords
             Members, the sender first.
         sender : str
             Name of the instance that sent them.
@@ -155,8 +155,8 @@
                 listed[member.name] = member
         for members in self._members.in_other_regions(now_s).values():
             listed.update((item.name, item) for item in members[:DISTANT_MEMBERS])
-        words = MemberWords((own, *listed.values()), False)
-        self._socket.send([address], words)
+        records = MemberRecords((own, *listed.values()), False)
+        self._socket.send([address], records)
 
     def _is_from_other_region(self, sender):
         member = self._members.get(sender)
@@ -168,7 +168,7 @@
         aggregators = self._region.other_aggregators
         records = (own, *(member for member in group if member is not None))
         self._send(aggregators, records)
-        if aggregators and own.beat % HEARTBEATS_PER_MEMBER_LIST == 0:
+        if aggregators and own.heartbeat_count % HEARTBEATS_PER_MEMBER_LIST == 0:
             listed = (own, *self._members.to_relay(now_s))
             self._send([random.choice(aggregators)], listed)
 
@@ -190,7 +190,7 @@
 
     def _send(self, receivers, members: tuple[Member, ...]):
         addresses = [member.peers_address for member in receivers]
-        self._socket.send(addresses, MemberWords(members, False))
+        self._socket.send(addresses, MemberRecords(members, False))
 
 
 def log_discovered(members: Sequence[Member]) -> None:
--- a/src/chervilpitch/gateway/messages.py
+++ b/src/chervilpitch/gateway/messages.py
@@ -8,7 +8,7 @@
 __all__ = [
     "Evidence",
     "InstanceEvidence",
-    "MemberWords",
+    "MemberRecords",
     "RegionUsage",
     "RelayedEvidence",
     "SourcedEvidence",
@@ -86,7 +86,7 @@
     return int(source.rpartition(":")[2])
 
 
-class MemberWords(NamedTuple):
+class MemberRecords(NamedTuple):
     """Members that the sender knows, itself first.
 
     Parameters
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -279,7 +279,7 @@
     return Member(
         name=instance.name,
         incarnation=wall_ns() // NS_PER_MS,
-        beat=0,
+        heartbeat_count=0,
         region=instance.region,
         failure_domain=instance.failure_domain,
         callers_address=settings.listen.callers,
--- a/src/chervilpitch/policy/members.py
+++ b/src/chervilpitch/policy/members.py
@@ -48,7 +48,7 @@
         Unique name of the instance.
     incarnation : int
         Start time of its process in Unix milliseconds.
-    beat : int
+    heartbeat_count : int
         Heartbeat counter within the incarnation.
     region, failure_domain : str
         Location of the instance.
@@ -60,7 +60,7 @@
 
     name: str
     incarnation: int
-    beat: int
+    heartbeat_count: int
     region: str
     failure_domain: str
     callers_address: str
@@ -70,7 +70,7 @@
     @property
     def version(self) -> tuple[int, int]:
         """Incarnation and heartbeat, by which records of an instance are ordered."""
-        return self.incarnation, self.beat
+        return self.incarnation, self.heartbeat_count
 
 
 class MemberTable:
@@ -104,7 +104,9 @@
         """Increment the heartbeat of this instance and return its new record."""
         own = self._own
         self._change_count += own.state != state
-        self._own = own._replace(beat=own.beat + 1, state=int(state))
+        self._own = own._replace(
+            heartbeat_count=own.heartbeat_count + 1, state=int(state)
+        )
         return self._own
 
     def merge(self, members: Iterable[Member], now_s: float) -> tuple[Member, ...]:
@@ -268,7 +270,9 @@
                 continue
             if known is None or known.incarnation != member.incarnation:
                 new.append(member)
-            if known is None or member != known._replace(beat=member.beat):
+            if known is None or member != known._replace(
+                heartbeat_count=member.heartbeat_count
+            ):
                 self._change_count += 1
             self._members[member.name] = member
             before_s = self._heard_at_s.get(member.name, heard_at_s)
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -24,8 +24,12 @@
 STORE_READ_S = 0.1
 
 
-def member(name, beat=1, incarnation=1, region="north", domain="n1", state=SERVING):
-    return Member(name, incarnation, beat, region, domain, name + ":1", "p", state)
+def member(
+    name, heartbeat_count=1, incarnation=1, region="north", domain="n1", state=SERVING
+):
+    return Member(
+        name, incarnation, heartbeat_count, region, domain, name + ":1", "p", state
+    )
 
 
 def test_instance_is_alive_while_its_heartbeat_advances():
@@ -34,15 +38,15 @@
     assert table.merge([member("a")], 12.9) == ()
     assert [item.name for item in table.alive(12.9)] == ["a"]
     assert table.alive(13.5) == []
-    table.merge([member("a", beat=2)], 13.6)
+    table.merge([member("a", heartbeat_count=2)], 13.6)
     assert [item.name for item in table.alive(13.7)] == ["a"]
 
 
 def test_new_incarnation_supersedes_any_heartbeat_of_the_old_one():
     table = MemberTable(member("own"))
-    table.merge([member("a", beat=50)], 10.0)
-    assert table.merge([member("a", beat=1, incarnation=2)], 10.1)
-    assert table.merge([member("a", beat=51)], 10.2) == ()
+    table.merge([member("a", heartbeat_count=50)], 10.0)
+    assert table.merge([member("a", heartbeat_count=1, incarnation=2)], 10.1)
+    assert table.merge([member("a", heartbeat_count=51)], 10.2) == ()
     assert table.alive(10.3)[0].incarnation == 2
 
 
