--- a/src/chervilpitch/gateway/heartbeats.py
+++ b/src/chervilpitch/gateway/heartbeats.py
@@ -16,6 +16,7 @@
 log = part_logger("fleet")
 
 HEARTBEAT_INTERVAL_S = 0.8
+AGGREGATOR_HEARTBEAT_INTERVAL_S = 0.5
 STARTUP_PERIOD_S = 1.2
 STARTUP_HEARTBEAT_INTERVAL_S = 0.25
 HEARTBEATS_PER_MEMBER_LIST = 4
@@ -76,9 +77,7 @@
         if now_s < self._due_at_s:
             return
         is_starting = now_s < self._startup_until_s
-        self._due_at_s = now_s + (
-            STARTUP_HEARTBEAT_INTERVAL_S if is_starting else HEARTBEAT_INTERVAL_S
-        )
+        self._due_at_s = now_s + self._interval_s(is_starting)
         own = self._members.heartbeat(self._own_state())
         expired = self._members.remove_expired(now_s)
         if expired:
@@ -95,6 +94,13 @@
         elif is_starting:
             self._socket.send(self._random_seed(), MemberRecords((own,), True))
 
+    def _interval_s(self, is_starting):
+        if is_starting:
+            return STARTUP_HEARTBEAT_INTERVAL_S
+        if self._region.is_aggregator:
+            return AGGREGATOR_HEARTBEAT_INTERVAL_S
+        return HEARTBEAT_INTERVAL_S
+
     def announce_leaving(self) -> None:
         """Send a heartbeat that this instance is leaving to those that relay it.
 
--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -1,6 +1,7 @@
 """Passing on of the store's state and of the list of members between instances."""
 
 import random
+from typing import NamedTuple
 
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
@@ -23,22 +24,40 @@
 NO_PROOF_AGE_S = 1e6
 """Age sent in an answer that carries no proof."""
 ANSWER_TIMEOUT_S = 0.45
+EXTRA_IF_OVERDUE = 1
+EXTRA_AFTER_TIMEOUT = 2
 
 
-class _PendingQuestion:
-    """A question without an answer so far."""
+class _PendingQuestion(NamedTuple):
+    """A question without an answer so far.
 
-    def __init__(self, receiver: str, asked_at_s: float):
-        self.receiver = receiver
-        self.asked_at_s = asked_at_s
+    Parameters
+    ----------
+    receiver : str
+        Name of the instance asked.
+    is_group_member : bool
+        Whether it was asked as the aggregator of this instance.
+    confirms_readers : bool
+        Whether an answer with a current proof shows that a reader answers, directly
+        or through the aggregator of this instance. An aggregator that is asked by
+        another one as an extra may only know an earlier proof.
+    asked_at_s : float
+        Monotonic time in seconds.
+    """
+
+    receiver: str
+    is_group_member: bool
+    confirms_readers: bool
+    asked_at_s: float
 
 
 class StateExchange:
     """Ask another instance for the store's state, and answer such questions.
 
     An aggregator asks the instances that read the store. Any other instance asks its
-    aggregator, which also sends it the list of members. If that one is silent, the
-    instance asks two at a time, and keeps the first that answers.
+    aggregator, which also sends it the list of members. While an answer is overdue, an
+    instance also asks a second aggregator. After a timeout, one that is not an
+    aggregator itself keeps the first that answers.
 
     Parameters
     ----------
@@ -74,10 +93,9 @@
         self._has_timed_out = False
         self._needs_all_entries = False
         self._members_digest = 0
-        self._members_source = ""
 
     def request(self) -> None:
-        """Request the store's state from another instance."""
+        """Request the store's state from another instance, or two if one is overdue."""
         now_s = self._clock()
         self._record_timeouts(now_s)
         aggregator = self._region.aggregator
@@ -87,22 +105,44 @@
         chosen = aggregator or self._next_source()
         if chosen is None:
             return
+        overdue = {question.receiver for question in self._pending.values()}
         self._ask(chosen, aggregator is not None, now_s)
-        others = [
-            item for item in self._region.other_aggregators if item.name != chosen.name
-        ]
-        if aggregator is not None and self._has_timed_out and others:
-            self._ask(random.choice(others), True, now_s)
-
-    def _ask(self, member, is_group_member, now_s):
-        digest = self._members_digest if member.name == self._members_source else 0
+        avoided = overdue | {chosen.name}
+        for member in self._extra_sources(avoided, self._extra_count(overdue)):
+            confirms_readers = aggregator is not None or member in self._readers()
+            self._ask(member, aggregator is not None, now_s, confirms_readers)
+
+    def _extra_count(self, overdue) -> int:
+        """Return how many more instances to ask, as others may have stopped too."""
+        if self._has_timed_out:
+            return EXTRA_AFTER_TIMEOUT
+        return EXTRA_IF_OVERDUE if overdue else 0
+
+    def _extra_sources(self, avoided, count):
+        """Return other readers, if this is an aggregator, and random aggregators."""
+        readers = self._readers() if self._region.aggregator is None else []
+        aggregators = self._region.other_aggregators
+        sources = {
+            item.name: item
+            for item in (*readers, *random.sample(aggregators, len(aggregators)))
+            if item.name not in avoided
+        }
+        return list(sources.values())[:count]
+
+    def _readers(self):
+        """Return the others that are the first to read the store."""
+        return peers_to_query(self._region.ranked, self._members.own)[:READER_COUNT]
+
+    def _ask(self, member, is_group_member, now_s, confirms_readers=True):
         self._last_number += 1
-        self._pending[self._last_number] = _PendingQuestion(member.name, now_s)
+        self._pending[self._last_number] = _PendingQuestion(
+            member.name, is_group_member, confirms_readers, now_s
+        )
         question = StateQuestion(
             self._last_number,
             self._state.configuration_revision,
             0 if self._needs_all_entries else self._state.entry_items.revision,
-            digest,
+            self._members_digest,
             is_group_member,
         )
         self._socket.send([member.peers_address], question)
@@ -136,12 +176,12 @@
         if pending is None:
             return
         self._replace_silent_aggregator(sender)
-        if is_proof_current(message.proof_age_s):
-            self._election.record_answer(pending.asked_at_s)
-        else:
+        if not is_proof_current(message.proof_age_s):
             self._source_index += 1
-        self._apply_members(message, sender)
-        self._record_contact(message, sender)
+        elif pending.confirms_readers:
+            self._election.record_answer(pending.asked_at_s)
+        if pending.is_group_member:
+            self._apply_members(message)
         state = self._state
         if message.proof_age_s < NO_PROOF_AGE_S:
             state.apply_configuration_items(
@@ -191,21 +231,15 @@
         self._source_index += 1
         return random.choice(candidates)
 
-    def _apply_members(self, message, sender):
+    def _apply_members(self, message):
         now_s = self._clock()
+        self._state.contact.record_members(message.heard_share, now_s)
         if message.members:
-            self._members_source = sender
             self._members_digest = message.members_digest
             log_discovered(self._members.apply_relayed(message.members, now_s))
         elif message.members_digest and message.members_digest == self._members_digest:
             self._members.confirm_relayed(now_s)
 
-    def _record_contact(self, message, sender):
-        aggregator = self._region.aggregator
-        if aggregator is not None and sender == aggregator.name:
-            now_s = self._clock()
-            self._state.contact.record_members(message.heard_share, now_s)
-
     def _build_answer(self, question, age_s) -> StateAnswer:
         configuration = self._state.configuration_item
         is_newer = (
--- a/src/chervilpitch/policy/aggregation.py
+++ b/src/chervilpitch/policy/aggregation.py
@@ -1,14 +1,16 @@
 """Groups of instances of a region, each with an aggregator for what they exchange.
 
-The first instances of a region by rank are its aggregators. They exchange messages
-with each other. Every other instance exchanges messages with one aggregator, which
-adds up what its group reports and passes on what the other aggregators send. An
-instance therefore exchanges messages with a number of others that grows with the
-square root of the region. In a small region all instances are aggregators.
+The first instances of each failure domain by rank are aggregators. Those of a region
+exchange messages with each other. Every other instance exchanges messages with one
+aggregator, which adds up what its group reports and passes on what the other
+aggregators send. An instance therefore exchanges messages with a number of others that
+grows with the square root of the region. In a small region all instances are
+aggregators.
 """
 
 import hashlib
 import math
+from collections import Counter
 from collections.abc import Sequence
 
 from .members import Member, MemberState
@@ -21,21 +23,37 @@
     "preferred_aggregators",
 ]
 
-MIN_AGGREGATORS = 20
+MAX_FULL_MESH = 16
+"""Instances of a region up to which all of them are aggregators."""
+MIN_AGGREGATORS_PER_DOMAIN = 2
 SILENT_AGGREGATOR_PAUSE_S = 3.0
 GROUP_MEMBERSHIP_S = 2.0
 
 
 def aggregators_of(ranked: Sequence[Member]) -> list[Member]:
-    """Return the aggregators of a region, which are the first instances by rank.
+    """Return the aggregators of a region, which are the first of each failure domain.
+
+    Each failure domain has as many, so that groups are of about the same size where
+    failure domains are.
 
     Parameters
     ----------
     ranked : sequence of Member
         Instances of the region by rank.
     """
-    count = max(MIN_AGGREGATORS, math.isqrt(max(0, len(ranked) - 1)) + 1)
-    return [item for item in ranked[:count] if item.state != MemberState.LEAVING]
+    staying = [item for item in ranked if item.state != MemberState.LEAVING]
+    if len(staying) <= MAX_FULL_MESH:
+        return staying
+    domains = len({item.failure_domain for item in staying})
+    per_domain = math.ceil(math.sqrt(len(staying)) / domains)
+    per_domain = max(MIN_AGGREGATORS_PER_DOMAIN, per_domain)
+    counts: Counter[str] = Counter()
+    aggregators = []
+    for member in staying:
+        if counts[member.failure_domain] < per_domain:
+            counts[member.failure_domain] += 1
+            aggregators.append(member)
+    return aggregators
 
 
 def is_aggregator(ranked: Sequence[Member], own: Member) -> bool:
@@ -47,7 +65,9 @@
     """Return the aggregators that this instance may use, the preferred one first.
 
     Those that serve come before those that start, and those of the same failure
-    domain before the others. Rendezvous hashing spreads instances over the rest.
+    domain before the others. The instances of a failure domain take its aggregators
+    in turn. Rendezvous hashing spreads them over the rest, so that the group of an
+    aggregator that stops is divided among the others.
 
     Parameters
     ----------
@@ -57,16 +77,27 @@
         This instance.
     """
     others = [item for item in aggregators_of(ranked) if item.name != own.name]
+    assigned = _assigned_name(ranked, own, others)
     return sorted(
         others,
         key=lambda item: (
             item.state == MemberState.STARTING,
             item.failure_domain != own.failure_domain,
+            item.name != assigned,
             _rendezvous_weight(item.name, own.name),
         ),
     )
 
 
+def _assigned_name(ranked, own, aggregators) -> str:
+    """Return the aggregator of the failure domain whose turn this instance is."""
+    near = [item for item in aggregators if item.failure_domain == own.failure_domain]
+    if not near:
+        return ""
+    names = [item.name for item in ranked if item.failure_domain == own.failure_domain]
+    return near[names.index(own.name) % len(near)].name
+
+
 class AggregatorSelection:
     """The aggregator that an instance uses, kept until it leaves or is silent."""
 
--- a/tests/gateway/test_large_region.py
+++ b/tests/gateway/test_large_region.py
@@ -16,6 +16,7 @@
 ISOLATION_S = 2.0
 MAX_DATAGRAMS_PER_S = 220
 MAX_MEAN_DATAGRAMS_PER_S = 60
+MAX_IDLE_DATAGRAMS_PER_S = 15
 
 
 @pytest.mark.parametrize("count", SIZES)
@@ -71,6 +72,25 @@
     assert sum(region.received.values()) <= MAX_MEAN_DATAGRAMS_PER_S * 4 * count
 
 
+@pytest.mark.parametrize("count", SIZES)
+def test_idle_instances_exchange_as_few_datagrams_in_regions_of_any_size(count):
+    region = RegionSimulation(count, seed=6)
+    region.run(DISCOVERY_S)
+    region.received.clear()
+    region.run(4.0)
+    assert sum(region.received.values()) <= MAX_IDLE_DATAGRAMS_PER_S * 4 * count
+
+
+def test_both_readers_that_stop_are_replaced_before_rates_are_limited_for_long():
+    region = RegionSimulation(100, seed=11)
+    region.run(DISCOVERY_S + 2.0)
+    for name in region.readers():
+        region.stop(name)
+    region.run(ISOLATION_S)
+    assert region.limited() == []
+    assert len(region.readers()) <= 6
+
+
 @pytest.mark.parametrize("count", SIZES)
 def test_evidence_of_one_instance_reaches_all_others(count):
     region = RegionSimulation(count, seed=7)
