--- a/src/chervilpitch/gateway/evidence.py
+++ b/src/chervilpitch/gateway/evidence.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from chervilpitch.policy import AccountUsage, ReportTotals, UpstreamReport
+from chervilpitch.policy import AccountUsage, ReportTotals
 
 from .messages import (
     Evidence,
@@ -25,6 +25,8 @@
 MIN_URGENT_INTERVAL_S = 0.1
 KEEP_ALIVE_INTERVAL_S = 0.8
 REGION_USAGE_INTERVAL_S = 0.5
+ALL_REGION_USAGE_INTERVAL_S = 3.0
+"""Interval at which all counters are sent again, as datagrams may be lost."""
 MAX_RELAYED_ITEMS = 400
 """Evidence kept for the group between two messages; older evidence is dropped."""
 
@@ -62,19 +64,22 @@
         self._sent_at_s = float("-inf")
         self._aggregator = ""
         self._relayed_at_s = float("-inf")
-        self._region_usage_due_at_s = 0.0
+        self._region_usage_due_at_s = float("-inf")
+        self._all_region_usage_due_at_s = float("-inf")
 
     def send(self) -> None:
         """Send the evidence that is due or urgent."""
         now_s = self._clock()
         own = self._members.own
+        has_urgent_reports = self._state.upstreams.is_report_urgent(now_s)
         is_urgent = (
-            self._state.upstreams.is_report_urgent(now_s)
+            has_urgent_reports
             or self._totals.is_urgent(now_s)
             or self._rates.is_report_urgent()
         )
         if _is_due(now_s - self._sent_at_s, is_urgent):
             if self._region.is_aggregator:
+                self._is_relay_urgent = self._is_relay_urgent or has_urgent_reports
                 self._send_to_aggregators(source_of(own.name, own.incarnation), now_s)
             else:
                 self._send_to_aggregator(now_s)
@@ -84,16 +89,21 @@
     def send_region_usage(self) -> None:
         """Send this region's usage to other regions if this instance ranks first.
 
-        It is sent once per interval, or without delay while a bucket is low. In each
-        region, the instance that ranks first receives it and passes it on.
+        Counters that changed are sent once per interval, or without delay while the
+        bucket of one is low. In each region, the instance that ranks first receives
+        them and passes them on.
         """
         if not self._region.is_first:
             return
         now_s = self._clock()
-        if now_s < self._region_usage_due_at_s and not self._rates.is_any_bucket_low():
+        is_urgent = self._rates.is_region_report_urgent()
+        if now_s < self._region_usage_due_at_s and not is_urgent:
             return
         self._region_usage_due_at_s = now_s + REGION_USAGE_INTERVAL_S
-        usages = self._rates.region_usage()
+        if now_s >= self._all_region_usage_due_at_s:
+            self._all_region_usage_due_at_s = now_s + ALL_REGION_USAGE_INTERVAL_S
+            self._rates.send_region_usage_again()
+        usages = self._rates.take_unsent_region_usage()
         if not usages:
             return
         own = self._members.own
@@ -108,9 +118,11 @@
         source = group_source_of(sender, incarnation)
         now_s = self._clock()
         self._others_totals.add(source, message.upstreams, now_s)
-        self._state.upstreams.add_reports(message.upstreams, source, now_s)
+        is_urgent = self._state.upstreams.add_reports(message.upstreams, source, now_s)
         self._rates.record_aggregate_usage(source, message.usages, message.is_continued)
-        self._note_urgency(message.upstreams, message.usages)
+        if is_urgent or self._has_low_account(message.usages):
+            self._is_relay_urgent = True
+            self.send()
 
     def receive_from_instance(
         self, message: InstanceEvidence, sender: str, incarnation: int, address: str
@@ -122,10 +134,13 @@
             self._rates.send_others_usage_again()
         self._region.group.record(sender, address, now_s)
         self._totals.add(source, message.upstreams, now_s)
-        self._state.upstreams.add_reports(message.upstreams, source, now_s)
+        is_urgent = self._state.upstreams.add_reports(message.upstreams, source, now_s)
         self._rates.record_instance_usage(source, message.usages, message.is_continued)
         if message.upstreams or message.usages:
             self._keep(SourcedEvidence(source, *message))
+        if is_urgent or self._has_low_account(message.usages):
+            self._is_relay_urgent = True
+            self.send()
 
     def receive_from_own_aggregator(
         self, message: RelayedEvidence, sender: str
@@ -149,6 +164,7 @@
         """Record the usage of another region, and pass it on within this one."""
         self._rates.record_summed_usage(message.source, message.usages)
         self._keep(SourcedEvidence(message.source, (), message.usages, is_sum=True))
+        self._is_relay_urgent |= self._has_low_account(message.usages)
         if all(member.name != sender for member in self._region.ranked):
             self._send(self._region.other_aggregators, message)
 
@@ -159,7 +175,8 @@
         self._set_aggregator("")
         reports = self._state.upstreams.next_reports(now_s)
         usages = self._rates.take_unsent_usage()
-        sums = self._totals.take(reports, now_s)
+        self._totals.add(own_source, reports, now_s)
+        sums = self._totals.take(now_s)
         usage_sums = self._rates.take_unsent_group_usage()
         is_continued = self._rates.is_continued
         if reports or usages:
@@ -209,7 +226,7 @@
         """Keep the sums of the other aggregators for the group's next message."""
         own = self._members.own
         source = others_source_of(own.name, own.incarnation)
-        reports = self._others_totals.take((), now_s)
+        reports = self._others_totals.take(now_s)
         usages = self._rates.take_unsent_others_usage()
         if reports or usages:
             self._relayed.append(SourcedEvidence(source, reports, usages, is_sum=True))
@@ -227,11 +244,6 @@
         self._relayed.append(item)
         if len(self._relayed) > MAX_RELAYED_ITEMS:
             del self._relayed[0]
-        self._note_urgency(item.upstreams, item.usages)
-
-    def _note_urgency(self, upstreams, usages):
-        if _has_failure(upstreams) or self._has_low_account(usages):
-            self._is_relay_urgent = True
 
     def _has_low_account(self, usages: Iterable[AccountUsage]) -> bool:
         return any(self._rates.is_low(usage.account) for usage in usages)
@@ -242,7 +254,3 @@
 
 def _is_due(elapsed_s: float, is_urgent: bool) -> bool:
     return elapsed_s >= (MIN_URGENT_INTERVAL_S if is_urgent else INTERVAL_S)
-
-
-def _has_failure(reports: Iterable[UpstreamReport]) -> bool:
-    return any(report.failed or report.is_late for report in reports)
--- a/src/chervilpitch/gateway/rates.py
+++ b/src/chervilpitch/gateway/rates.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from chervilpitch.policy import AccountUsage, UnsentCounters, UsageTotals
+from chervilpitch.policy import AccountUsage, ReportedUsage, UsageCounters
 
 from .messages import incarnation_of
 from .state import GatewayState
@@ -28,11 +28,13 @@
         self._state = state
         self._members = state.members
         self._clock = clock
-        self._group_totals = UsageTotals()
-        self._other_totals = UsageTotals()
-        self._own_unsent = UnsentCounters()
-        self._group_unsent = UnsentCounters()
-        self._others_unsent = UnsentCounters()
+        self._region = UsageCounters()
+        self._group = UsageCounters(including=self._region)
+        self._others = UsageCounters(including=self._region)
+        self._own = UsageCounters(including=self._group)
+        self._group_reports = ReportedUsage(self._group)
+        self._others_reports = ReportedUsage(self._others)
+        state.set_admission_counters(self._own)
         self._receivers: frozenset[str] = frozenset()
         self._aggregator = ""
         self._is_continued = False
@@ -58,13 +60,13 @@
             Name of this instance's aggregator; empty if it is one itself.
         """
         if aggregator != self._aggregator:
-            self._is_continued = self._is_continued or self._own_unsent.has_sent
+            self._is_continued = self._is_continued or self._own.has_sent
             self._has_moved = self._has_moved or not self._is_starting()
         self._aggregator = aggregator
         receivers = frozenset(names)
         if receivers - self._receivers:
-            self._own_unsent.forget_sent()
-            self._group_unsent.forget_sent()
+            self._own.mark_all_unsent()
+            self._group.mark_all_unsent()
         self._receivers = receivers
 
     def record_instance_usage(
@@ -85,7 +87,7 @@
             Whether another aggregator has counted a part of them.
         """
         is_new = self._started_no_earlier(source) and not is_continued
-        self._group_totals.add(source, usages, is_new)
+        self._group_reports.add(source, usages, is_new)
         self._record_usage(source, usages, is_new)
 
     def record_aggregate_usage(
@@ -104,7 +106,7 @@
         """
         is_new = self._started_no_earlier(source)
         is_new = is_new and not is_continued and not self._is_continued
-        self._other_totals.add(source, usages, is_new)
+        self._others_reports.add(source, usages, is_new)
         self._record_usage(source, usages, is_new)
 
     def record_relayed_usage(
@@ -146,56 +148,47 @@
 
     def take_unsent_usage(self) -> tuple[AccountUsage, ...]:
         """Return own counters that changed since the last call, and mark them sent."""
-        return self._own_unsent.take(self._own_usage())
+        return self._own.take_unsent()
 
     def take_unsent_group_usage(self) -> tuple[AccountUsage, ...]:
         """Return the group's counters that changed since the last call.
 
         They include this instance's counters, and are marked as sent.
         """
-        return self._group_unsent.take(self._group_usage())
+        return self._group.take_unsent()
 
     def take_unsent_others_usage(self) -> tuple[AccountUsage, ...]:
         """Return the other groups' counters that changed since the last call."""
-        return self._others_unsent.take(dict(self._other_totals.usages()))
+        return self._others.take_unsent()
 
     def send_others_usage_again(self) -> None:
         """Return all of the other groups' counters at the next call."""
-        self._others_unsent.forget_sent()
+        self._others.mark_all_unsent()
 
-    def region_usage(self) -> tuple[AccountUsage, ...]:
-        """Return the requests admitted in the region, this instance included."""
-        counts = self._group_usage()
-        for account, admitted in self._other_totals.usages():
-            counts[account] = counts.get(account, 0) + admitted
-        return tuple(AccountUsage(*item) for item in sorted(counts.items()))
+    def take_unsent_region_usage(self) -> tuple[AccountUsage, ...]:
+        """Return the counters of the region that changed since the last call."""
+        return self._region.take_unsent()
+
+    def send_region_usage_again(self) -> None:
+        """Return all counters of the region at the next call."""
+        self._region.mark_all_unsent()
 
     def is_low(self, account: str) -> bool:
         """Return whether a client account's bucket is low."""
         bucket = self._state.buckets.get(account)
         return bucket is not None and bucket.is_low(self._clock())
 
-    def is_any_bucket_low(self) -> bool:
-        """Return whether a bucket is low, so that each admission is to be reported."""
-        return any(self.is_low(account) for account in self._state.buckets)
-
     def is_report_urgent(self) -> bool:
         """Return whether unsent admissions could lead to an exceeded rate."""
-        changed = self._group_unsent.changed(self._group_usage())
-        return any(self.is_low(account) for account in changed)
+        return any(self.is_low(account) for account in self._group.unsent)
+
+    def is_region_report_urgent(self) -> bool:
+        """Return whether admissions that other regions don't know could do so."""
+        return any(self.is_low(account) for account in self._region.unsent)
 
     def _is_starting(self) -> bool:
         return self._clock() < self._started_at_s + COUNTER_STARTUP_PERIOD_S
 
-    def _own_usage(self) -> dict[str, int]:
-        return {name: bucket.admitted for name, bucket in self._state.buckets.items()}
-
-    def _group_usage(self) -> dict[str, int]:
-        counts = self._own_usage()
-        for account, admitted in self._group_totals.usages():
-            counts[account] = counts.get(account, 0) + admitted
-        return counts
-
     def _started_no_earlier(self, source) -> bool:
         """Return whether a source started no earlier than this instance.
 
--- a/src/chervilpitch/gateway/request_path.py
+++ b/src/chervilpitch/gateway/request_path.py
@@ -168,16 +168,15 @@
         return _Refusal(RefusalKind.KEYS_NOT_FRESH, NOT_READY_RETRY_AFTER_S)
 
     def _admit_within_rate(self, route, account: str) -> Result[_Admitted, _Refusal]:
-        bucket = self._state.buckets.get(account)
         now_s = self._clock()
-        share = self._state.contact.rate_share(now_s)
-        if bucket is None or bucket.admit(now_s, share):
+        if self._state.admit(account, now_s):
             return Ok(_Admitted(route, account))
+        bucket = self._state.buckets[account]
         retry_after_s = bucket.retry_after_s(now_s)
         log.info(
             "Rate exceeded.",
             account=account,
-            share=round(share, 3),
+            share=round(self._state.contact.rate_share(now_s), 3),
             **bucket.log_fields(now_s),
         )
         return Err(
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -25,6 +25,7 @@
     RouteTable,
     UpstreamListing,
     UpstreamTable,
+    UsageCounters,
 )
 
 __all__ = ["GatewayState"]
@@ -76,6 +77,7 @@
         self._baselines: dict[str, LatencyBaseline] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._buckets: dict[str, FleetBucket] = {}
+        self._admissions = UsageCounters()
         self._accounts: Mapping[str, AccountQuota] = {}
         self._is_removal_pending = False
         self._is_leaving = False
@@ -137,6 +139,23 @@
         """Token buckets of client accounts, by name."""
         return self._buckets
 
+    def set_admission_counters(self, counters: UsageCounters) -> None:
+        """Count admitted requests in the counters given."""
+        self._admissions = counters
+
+    def admit(self, account: str, now_s: float) -> bool:
+        """Return whether the rate of a client account allows one more request.
+
+        The request is then counted. An account without a rate has no bucket.
+        """
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            return True
+        if not bucket.admit(now_s, self._contact.rate_share(now_s)):
+            return False
+        self._admissions.add(account)
+        return True
+
     @property
     def is_leaving(self) -> bool:
         """Whether a stop has begun."""
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -24,7 +24,7 @@
 )
 from .overload import is_overloaded, retry_after_s
 from .placement import Choice, Location, UpstreamTable
-from .quota import AccountUsage, FleetBucket, UnsentCounters, UsageTotals
+from .quota import FleetBucket
 from .reader_election import (
     READER_COUNT,
     ReaderElection,
@@ -35,6 +35,7 @@
 from .report_totals import ReportTotals
 from .routes import RouteTable, pick_service
 from .upstream_state import UpstreamReport, UpstreamState
+from .usage import AccountUsage, ReportedUsage, UsageCounters
 
 __all__ = [
     "OTHER_REGION_ALIVE_S",
@@ -56,14 +57,14 @@
     "MemberTable",
     "ReaderElection",
     "ReportTotals",
+    "ReportedUsage",
     "RetryBudget",
     "RouteTable",
-    "UnsentCounters",
     "UpstreamListing",
     "UpstreamReport",
     "UpstreamState",
     "UpstreamTable",
-    "UsageTotals",
+    "UsageCounters",
     "addresses_for",
     "aggregators_of",
     "is_aggregator",
--- a/src/chervilpitch/policy/placement.py
+++ b/src/chervilpitch/policy/placement.py
@@ -197,7 +197,7 @@
 
     def add_reports(
         self, reports: Iterable[UpstreamReport], source: str, now_s: float
-    ) -> None:
+    ) -> bool:
         """Add the reports of another instance.
 
         Parameters
@@ -208,11 +208,18 @@
             Incarnation of the reporting instance.
         now_s : float
             Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether they hold new evidence of failure that others should know at once.
         """
+        is_urgent = False
         for report in reports:
             state = self._states.get(report.upstream)
-            if state is not None:
-                state.add_report(report, source, now_s)
+            if state is not None and state.add_report(report, source, now_s):
+                is_urgent = True
+        return is_urgent
 
     def forget_reported_loads(self) -> None:
         """Forget the loads that others have reported; they are to be reported anew.
--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -1,10 +1,9 @@
 """Fleet-wide rate limits of client accounts, without a coordinator."""
 
 import math
-from collections.abc import Mapping
 from typing import NamedTuple
 
-__all__ = ["AccountUsage", "FleetBucket", "UnsentCounters", "UsageTotals"]
+__all__ = ["FleetBucket"]
 
 RATE_DECAY_S = 1.0
 MAX_EXTRAPOLATION_S = 0.6
@@ -14,21 +13,6 @@
 MAX_DEBT_S = 5.0
 
 
-class AccountUsage(NamedTuple):
-    """Count of requests of a client account admitted by one or more instances.
-
-    Parameters
-    ----------
-    account : str
-        Name of the client account.
-    admitted : int
-        Requests admitted since the counter started.
-    """
-
-    account: str
-    admitted: int
-
-
 class _Source(NamedTuple):
     admitted: int
     rate_per_s: float
@@ -180,75 +164,3 @@
     """Return the estimated rate of a source, decayed since its last report."""
     elapsed_s = max(0.0, now_s - source.reported_at_s)
     return source.rate_per_s * math.exp(-elapsed_s / RATE_DECAY_S)
-
-
-class UsageTotals:
-    """Totals of the requests admitted by the other instances of a region."""
-
-    def __init__(self) -> None:
-        self._totals: dict[str, int] = {}
-        self._last_counts: dict[tuple[str, str], int] = {}
-
-    def add(
-        self,
-        source: str,
-        usages: tuple[AccountUsage, ...],
-        started_no_earlier: bool = False,
-    ) -> None:
-        """Add the increase of one instance's counters since its last report.
-
-        Parameters
-        ----------
-        source : str
-            Instance and incarnation.
-        usages : tuple of AccountUsage
-            Counters of the instance.
-        started_no_earlier : bool
-            Whether the counters started together with these totals or later. If so,
-            the first report is counted in full; otherwise it is the base value.
-        """
-        for usage in usages:
-            key = (source, usage.account)
-            base = 0 if started_no_earlier else usage.admitted
-            gained = usage.admitted - self._last_counts.get(key, base)
-            self._last_counts[key] = usage.admitted
-            total = self._totals.get(usage.account, 0)
-            self._totals[usage.account] = total + max(0, gained)
-
-    def usages(self) -> tuple[AccountUsage, ...]:
-        """Return the totals of all client accounts since this instance started."""
-        return tuple(AccountUsage(*item) for item in self._totals.items())
-
-
-class UnsentCounters:
-    """Counters of admitted requests as last sent, to send only those that changed."""
-
-    def __init__(self) -> None:
-        self._sent: dict[str, int] = {}
-        self._has_sent = False
-
-    @property
-    def has_sent(self) -> bool:
-        """Whether a counter was ever sent."""
-        return self._has_sent
-
-    def changed(self, counts: Mapping[str, int]) -> tuple[str, ...]:
-        """Return the client accounts whose counter differs from the one sent."""
-        return tuple(
-            account
-            for account, admitted in counts.items()
-            if admitted != self._sent.get(account, 0)
-        )
-
-    def take(self, counts: Mapping[str, int]) -> tuple[AccountUsage, ...]:
-        """Return the counters that changed, and mark them as sent."""
-        changed = tuple(
-            AccountUsage(account, counts[account]) for account in self.changed(counts)
-        )
-        self._sent.update(changed)
-        self._has_sent = self._has_sent or bool(changed)
-        return changed
-
-    def forget_sent(self) -> None:
-        """Return all counters at the next call of :meth:`take`."""
-        self._sent.clear()
--- a/src/chervilpitch/policy/remote_loads.py
+++ b/src/chervilpitch/policy/remote_loads.py
@@ -2,17 +2,32 @@
 
 from typing import NamedTuple
 
-__all__ = ["RemoteLoads"]
+__all__ = ["RemoteLoad", "RemoteLoads"]
 
 TTL_S = 1.2
 
 
-class _RemoteLoad(NamedTuple):
+class RemoteLoad(NamedTuple):
+    """Load that one source has reported.
+
+    Parameters
+    ----------
+    in_flight : int
+        Requests that are waiting for a response.
+    lateness : float
+        Evidence of failure from these requests, in log-odds.
+    expires_at_s : float
+        Monotonic time in seconds until which it counts.
+    """
+
     in_flight: int
     lateness: float
     expires_at_s: float
 
 
+NO_LOAD = RemoteLoad(0, 0.0, float("-inf"))
+
+
 class RemoteLoads:
     """Latest load reported by each source, added up when a report arrives.
 
@@ -22,24 +37,26 @@
     Examples
     --------
     >>> loads = RemoteLoads()
-    >>> loads.record("a", 2, 0.5, now_s=10.0)
+    >>> loads.record("a", 2, 0.5, now_s=10.0).in_flight
     0
-    >>> loads.record("a", 3, 0.5, now_s=10.3)
+    >>> loads.record("a", 3, 0.5, now_s=10.3).in_flight
     2
     >>> loads.in_flight(now_s=10.4), loads.in_flight(now_s=20.0)
     (3, 0)
     """
 
     def __init__(self) -> None:
-        self._loads: dict[str, _RemoteLoad] = {}
+        self._loads: dict[str, RemoteLoad] = {}
         self._in_flight = 0
         self._lateness = 0.0
 
     def __len__(self) -> int:
         return len(self._loads)
 
-    def record(self, source: str, in_flight: int, lateness: float, now_s: float) -> int:
-        """Replace the load of a source and return its previous requests in flight.
+    def record(
+        self, source: str, in_flight: int, lateness: float, now_s: float
+    ) -> RemoteLoad:
+        """Replace the load of a source and return the previous one.
 
         Parameters
         ----------
@@ -54,7 +71,7 @@
         """
         self._remove_expired(now_s)
         previous = self._remove(source)
-        self._loads[source] = _RemoteLoad(in_flight, lateness, now_s + TTL_S)
+        self._loads[source] = RemoteLoad(in_flight, lateness, now_s + TTL_S)
         self._in_flight += in_flight
         self._lateness += lateness
         return previous
@@ -82,10 +99,10 @@
                 return
             self._remove(source)
 
-    def _remove(self, source) -> int:
+    def _remove(self, source) -> RemoteLoad:
         load = self._loads.pop(source, None)
         if load is None:
-            return 0
+            return NO_LOAD
         self._in_flight -= load.in_flight
         self._lateness = self._lateness - load.lateness if self._loads else 0.0
-        return load.in_flight
+        return load
--- a/src/chervilpitch/policy/report_totals.py
+++ b/src/chervilpitch/policy/report_totals.py
@@ -1,9 +1,14 @@
-"""Sums of the reports on upstreams that a group of instances sends its aggregator."""
+"""Sums of the reports on upstreams by an aggregator and its group."""
 
 from collections.abc import Iterable
 
 from .remote_loads import RemoteLoads
-from .upstream_state import URGENT_LATENESS_LOG_ODDS, UpstreamReport
+from .upstream_state import (
+    REPORT_REFRESH_S,
+    REPORTED_LATENESS_STEP,
+    URGENT_LATENESS_LOG_ODDS,
+    UpstreamReport,
+)
 
 __all__ = ["ReportTotals"]
 
@@ -17,6 +22,7 @@
         self.failed = 0
         self.late = 0.0
         self.sent_lateness = 0.0
+        self.refresh_due_at_s = float("-inf")
         self.is_changed = False
 
     def is_urgent(self, now_s: float) -> bool:
@@ -26,6 +32,12 @@
         increase = self.loads.lateness(now_s) - self.sent_lateness
         return increase > URGENT_LATENESS_LOG_ODDS
 
+    def is_due(self, now_s: float) -> bool:
+        """Return whether the sums changed or are to be sent again."""
+        increase = self.loads.lateness(now_s) - self.sent_lateness
+        is_later = increase > REPORTED_LATENESS_STEP
+        return self.is_changed or is_later or now_s >= self.refresh_due_at_s
+
 
 class ReportTotals:
     """Sums of the reports of a group, by upstream.
@@ -44,7 +56,7 @@
         Parameters
         ----------
         source : str
-            Incarnation of the instance.
+            Incarnation of an instance of the group, or of the aggregator itself.
         reports : iterable of UpstreamReport
             Its reports.
         now_s : float
@@ -52,35 +64,30 @@
         """
         for report in reports:
             totals = self._totals.setdefault(report.upstream, _UpstreamTotals())
-            totals.loads.record(source, report.in_flight, report.lateness, now_s)
+            previous = totals.loads.record(
+                source, report.in_flight, report.lateness, now_s
+            )
             totals.succeeded += report.succeeded
             totals.failed += report.failed
             totals.late += report.late
-            totals.is_changed = True
+            has_ended = report.succeeded or report.failed or report.late
+            if has_ended or report.in_flight != previous.in_flight:
+                totals.is_changed = True
 
     def is_urgent(self, now_s: float) -> bool:
         """Return whether the sums should be sent without delay."""
         return any(totals.is_urgent(now_s) for totals in self._totals.values())
 
-    def take(
-        self, own_reports: Iterable[UpstreamReport], now_s: float
-    ) -> tuple[UpstreamReport, ...]:
-        """Return the sums of the group and this instance, and start new ones.
+    def take(self, now_s: float) -> tuple[UpstreamReport, ...]:
+        """Return the sums that changed or are to be sent again, and start new ones.
 
         Parameters
         ----------
-        own_reports : iterable of UpstreamReport
-            Reports of this instance since the previous call.
         now_s : float
             Monotonic time in seconds.
         """
-        own = {report.upstream: report for report in own_reports}
-        sums = []
-        for name in list(self._totals):
-            total = self._take_one(name, now_s)
-            if total is not None:
-                sums.append(_sum(total, own.pop(name, None)))
-        return (*sums, *own.values())
+        sums = (self._take_one(name, now_s) for name in list(self._totals))
+        return tuple(report for report in sums if report is not None)
 
     def _take_one(self, name, now_s) -> UpstreamReport | None:
         totals = self._totals[name]
@@ -88,6 +95,9 @@
         if not totals.is_changed and not in_flight:
             del self._totals[name]
             return None
+        if not totals.is_due(now_s):
+            return None
+        totals.refresh_due_at_s = now_s + REPORT_REFRESH_S
         lateness = totals.loads.lateness(now_s)
         report = UpstreamReport(
             name,
@@ -103,10 +113,3 @@
         totals.sent_lateness = lateness
         totals.is_changed = False
         return report
-
-
-def _sum(first: UpstreamReport, second: UpstreamReport | None) -> UpstreamReport:
-    if second is None:
-        return first
-    numbers = (one + other for one, other in zip(first[1:], second[1:], strict=True))
-    return UpstreamReport(first.upstream, *numbers)
--- a/src/chervilpitch/policy/upstream_state.py
+++ b/src/chervilpitch/policy/upstream_state.py
@@ -13,6 +13,10 @@
 
 MAX_LATENESS_LOG_ODDS = 6.0
 URGENT_LATENESS_LOG_ODDS = 1.5
+REPORTED_LATENESS_STEP = 0.5
+"""Increase in log-odds from which the evidence of late requests is reported again."""
+REPORT_REFRESH_S = 0.5
+"""Interval at which an unchanged load is reported again before it expires."""
 REPORTED_LOAD_TTL_S = 0.25
 SLOWNESS_GAIN = 0.25
 MAX_SLOWNESS = 8.0
@@ -46,11 +50,6 @@
     failed: int
     late: float
 
-    @property
-    def is_late(self) -> bool:
-        """Whether the evidence from late or abandoned requests is strong."""
-        return self.lateness + self.late > URGENT_LATENESS_LOG_ODDS
-
 
 class PendingAttempt(NamedTuple):
     """An attempt that is waiting for a response.
@@ -104,6 +103,7 @@
         self._failed = 0
         self._late = 0.0
         self._sent_lateness = 0.0
+        self._refresh_due_at_s = float("-inf")
         self._is_reported = True
         self._tried_at_s = -math.inf
 
@@ -209,10 +209,17 @@
         self._reported_load = running + waiting
         self._reported_at_s = now_s
 
-    def add_report(self, report: UpstreamReport, source: str, now_s: float) -> None:
-        """Add the report of another instance or group of instances."""
+    def add_report(self, report: UpstreamReport, source: str, now_s: float) -> bool:
+        """Add the report of another instance or group of instances.
+
+        Returns
+        -------
+        bool
+            Whether it holds new evidence of failure that others should know at once.
+        """
         previous = self._remote.record(source, report.in_flight, report.lateness, now_s)
-        if report.in_flight > previous or report.succeeded or report.failed:
+        is_new_attempt = report.in_flight > previous.in_flight
+        if is_new_attempt or report.succeeded or report.failed:
             self._tried_at_s = now_s
         if report.succeeded:
             self._estimate.add_successes(now_s, report.succeeded)
@@ -220,6 +227,8 @@
             self._estimate.add_failures(now_s, report.failed)
         if report.late:
             self._estimate.add_lateness(now_s, report.late)
+        increase = report.lateness + report.late - previous.lateness
+        return report.failed > 0 or increase > URGENT_LATENESS_LOG_ODDS
 
     def forget_reported_loads(self) -> None:
         """Forget the loads that other instances have reported."""
@@ -254,12 +263,16 @@
         Returns
         -------
         UpstreamReport or None
-            None if nothing has changed and no request is waiting for a response.
+            None if nothing has changed and the load reported last is still valid.
         """
         if self._is_reported and not self._pending:
             self._unreported.discard(self)
             return None
-        self._sent_lateness = self._own_lateness(now_s)
+        lateness = self._own_lateness(now_s)
+        if self._is_reported and not self._is_refresh_due(lateness, now_s):
+            return None
+        self._sent_lateness = lateness
+        self._refresh_due_at_s = now_s + REPORT_REFRESH_S
         report = UpstreamReport(
             self._entry.name,
             len(self._pending),
@@ -274,6 +287,10 @@
         self._is_reported = True
         return report
 
+    def _is_refresh_due(self, lateness, now_s):
+        increase = lateness - self._sent_lateness
+        return now_s >= self._refresh_due_at_s or increase > REPORTED_LATENESS_STEP
+
     def _observe_slowness(self, ratio, now_s):
         slowness = self._current_slowness(now_s)
         self._slowness = slowness + SLOWNESS_GAIN * (ratio - slowness)
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -22,12 +22,24 @@
         self.now_s = 100.0
         clock = lambda: self.now_s  # noqa: E731
         self.state = new_state("own", clock, incarnation=OWN_START_MS)
-        account = {"name": ACCOUNT, "api_keys": [], "rate_per_s": 10, "burst": 10}
-        content = encode_json(configuration(tenants=[account]))
-        item = StoreItem(CONFIGURATION_KEY, content, 1)
-        self.state.apply_configuration_items((item,), self.now_s)
+        self.set_rate(10, version=1)
         self.rates = RateSharing(self.state, clock)
 
+    def set_rate(self, rate_per_s, version):
+        account = {
+            "name": ACCOUNT,
+            "api_keys": [],
+            "rate_per_s": rate_per_s,
+            "burst": rate_per_s,
+        }
+        content = encode_json(configuration(version, tenants=[account]))
+        item = StoreItem(CONFIGURATION_KEY, content, version)
+        self.state.apply_configuration_items((item,), self.now_s)
+
+    def admit(self):
+        self.state.contact.record_members(1.0, self.now_s)
+        return self.state.admit(ACCOUNT, self.now_s)
+
     def level(self):
         bucket = self.state.buckets[ACCOUNT]
         bucket.is_low(self.now_s)
@@ -45,7 +57,7 @@
     before = harness.level()
     harness.rates.record_instance_usage(source_of("a", incarnation), USED)
     assert harness.level() == pytest.approx(before - lowered)
-    assert dict(harness.rates.region_usage())[ACCOUNT] == lowered
+    assert dict(harness.rates.take_unsent_region_usage()).get(ACCOUNT, 0) == lowered
 
 
 @pytest.mark.parametrize(
@@ -62,6 +74,28 @@
 def test_usage_is_returned_for_sending_only_once():
     harness = RateSharingHarness()
     harness.now_s += 5.0
-    assert harness.state.buckets[ACCOUNT].admit(harness.now_s)
+    assert harness.admit()
     assert harness.rates.take_unsent_usage() == (AccountUsage(ACCOUNT, 1),)
     assert harness.rates.take_unsent_usage() == ()
+
+
+def test_counter_goes_on_after_an_account_was_without_a_rate():
+    """Others ignore a counter that starts again below the one they know."""
+    harness = RateSharingHarness()
+    harness.now_s += 5.0
+    for _ in range(3):
+        assert harness.admit()
+    harness.set_rate(0, version=2)
+    harness.set_rate(10, version=3)
+    harness.now_s += 5.0
+    assert harness.admit()
+    assert harness.rates.take_unsent_usage() == (AccountUsage(ACCOUNT, 4),)
+
+
+def test_accounts_without_new_requests_cost_nothing_between_messages():
+    harness = RateSharingHarness()
+    harness.rates.take_unsent_group_usage()
+    assert not harness.rates.is_report_urgent()
+    harness.state.buckets[ACCOUNT].is_low = None
+    assert not harness.rates.is_report_urgent()
+    assert not harness.rates.is_region_report_urgent()
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -5,13 +5,7 @@
 
 import pytest
 
-from chervilpitch.policy import (
-    AccountUsage,
-    Contact,
-    FleetBucket,
-    UsageTotals,
-    share_heard,
-)
+from chervilpitch.policy import Contact, FleetBucket, share_heard
 
 STEP_S = 0.02
 STEPS_PER_HEARTBEAT = 40
@@ -147,20 +141,6 @@
     assert sum(bucket.admit(10.1) for _ in range(10)) == 1
 
 
-def test_totals_count_increases_since_the_first_report():
-    totals = UsageTotals()
-    totals.add("a", (AccountUsage("fitters", 100),))
-    totals.add("a", (AccountUsage("fitters", 104),))
-    totals.add("a", (AccountUsage("fitters", 102),))
-    assert totals.usages() == (AccountUsage("fitters", 4),)
-
-
-def test_totals_count_first_report_of_later_instance_in_full():
-    totals = UsageTotals()
-    totals.add("a", (AccountUsage("fitters", 7),), started_no_earlier=True)
-    assert totals.usages() == (AccountUsage("fitters", 7),)
-
-
 @pytest.mark.parametrize("rate", [4.0, 12.0, 60.0])
 def test_restart_of_all_instances_stays_within_the_bound(rate):
     fleet = BucketFleet(36, rate, rate, lag_s=0.1)
