--- a/src/chervilpitch/cli/main.py
+++ b/src/chervilpitch/cli/main.py
@@ -10,6 +10,7 @@
 from .notes import CheckCommand, DiffCommand
 from .serve import GatewayCommand, ServeCommand, SettingsCommand
 from .timeline import TimelineCommand
+from .versions import VersionsCommand
 
 __all__ = ["build_application", "main"]
 
@@ -22,6 +23,7 @@
     SettingsCommand,
     StatusCommand,
     TimelineCommand,
+    VersionsCommand,
 )
 
 
--- a/src/chervilpitch/exits.py
+++ b/src/chervilpitch/exits.py
@@ -14,3 +14,4 @@
     BAD_NOTE = 3
     UNREACHABLE = 4
     REFUSED = 5
+    DISAGREEMENT = 6
--- a/src/chervilpitch/gateway/metrics.py
+++ b/src/chervilpitch/gateway/metrics.py
@@ -42,6 +42,12 @@
             ("name",),
             registry=self._registry,
         )
+        self._settings = Gauge(
+            "chervilpitch_settings",
+            "Digest of the settings file as it was read, and as it is on disk.",
+            ("instance", "in_force", "on_disk"),
+            registry=self._registry,
+        )
         self._routes: set[str] = set()
 
     def record_request(
@@ -70,6 +76,11 @@
         for name, value in values.items():
             self._values.labels(name).set(value)
 
+    def set_settings(self, instance: str, in_force: str, on_disk: str) -> None:
+        """Set the digests of the settings file, for the instance of the given name."""
+        self._settings.clear()
+        self._settings.labels(instance, in_force, on_disk).set(1)
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -35,7 +35,8 @@
 from .request_path import RequestPath
 from .schedule import PeriodicStep, run_periodically
 from .server_connection import ServerConnection
-from .settings import GatewaySettings, load_gateway
+from .settings import GatewaySettings
+from .settings_file import SettingsFile
 from .state import GatewayState
 from .store_reader import StoreReader
 
@@ -55,6 +56,7 @@
 READER_CHECK_INTERVAL_S = 0.2
 MAINTENANCE_INTERVAL_S = 0.5
 LOG_DRAIN_INTERVAL_S = 0.4
+STATUS_INTERVAL_S = 10.0
 STOP_ACCEPTING_BEFORE_END_S = 2.6
 STOP_MARGIN_S = 0.25
 STOP_POLL_INTERVAL_S = 0.1
@@ -69,15 +71,20 @@
     ----------
     settings : GatewaySettings
         Checked settings.
-    path : str
-        Path of the settings file, which SIGHUP reloads.
+    settings_file : SettingsFile
+        File of these settings, which SIGHUP reads again.
     logs : BoundedLogStream
         Stream that log lines are written to.
     """
 
-    def __init__(self, settings: GatewaySettings, path: str, logs: BoundedLogStream):
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        settings_file: SettingsFile,
+        logs: BoundedLogStream,
+    ):
         self._settings = settings
-        self._path = path
+        self._settings_file = settings_file
         self._logs = logs
         clock = monotonic_s
         instance = settings.instance
@@ -154,6 +161,7 @@
             (self._gossip.update_reader_role, READER_CHECK_INTERVAL_S),
             (self._gossip.request_state, STATE_REQUEST_INTERVAL_S),
             (self._run_maintenance, MAINTENANCE_INTERVAL_S),
+            (self._log_status, STATUS_INTERVAL_S),
             (self._logs.drain, LOG_DRAIN_INTERVAL_S),
         )
         coroutines = (
@@ -170,6 +178,18 @@
         self._pool.close_expired()
         self._state.remove_missing_upstreams()
 
+    def _log_status(self):
+        now_s = monotonic_s()
+        log.info(
+            "Status.",
+            version=self._state.configuration.version,
+            revision=self._state.configuration_revision,
+            proof_age_s=round(self._state.freshness.age_s(now_s), 2),
+            settings=self._settings_file.digest,
+            instances_alive=len(self._members.alive(now_s)),
+            in_progress=self._state.in_progress,
+        )
+
     async def _serve_management_page(self, request) -> ServerResponse:
         path, _, query = request.target.decode("latin-1").partition("?")
         if path == platform.READY_PATH:
@@ -201,6 +221,7 @@
         self._metrics.set_state_values(
             {
                 "configuration_version": self._state.configuration.version,
+                "configuration_revision": self._state.configuration_revision,
                 "in_progress": self._state.in_progress,
                 "instances_alive": len(self._members.alive(now_s)),
                 "proof_age_seconds": self._state.freshness.age_s(now_s),
@@ -214,6 +235,11 @@
                 "log_lines_dropped": self._logs.dropped,
             }
         )
+        self._metrics.set_settings(
+            self._settings.instance.name,
+            self._settings_file.digest,
+            self._settings_file.digest_on_disk,
+        )
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         return ServerResponse(HTTPStatus.OK, [content_type], self._metrics.render())
 
@@ -240,7 +266,7 @@
         self._stopped.set()
 
     def _reload(self):
-        loaded = load_gateway(self._path)
+        loaded = self._settings_file.load()
         if loaded.is_err():
             for problem in loaded.unwrap_err():
                 log.error(
@@ -250,7 +276,11 @@
             return
         self._settings = loaded.unwrap()
         self._gossip.set_seeds(self._settings.seeds)
-        log.info("Settings reloaded.", seeds=list(self._settings.seeds))
+        log.info(
+            "Settings reloaded.",
+            seeds=list(self._settings.seeds),
+            settings=self._settings_file.digest,
+        )
 
 
 def run_gateway(settings: GatewaySettings, path: str) -> None:
@@ -268,7 +298,7 @@
     logs = BoundedLogStream(sys.stdout.fileno())
     configure_logs(logs, settings.log.format, SecretRegister())
     try:
-        asyncio.run(GatewayProcess(settings, path, logs).run())
+        asyncio.run(GatewayProcess(settings, SettingsFile(path), logs).run())
     finally:
         logs.drain()
         os.set_blocking(sys.stdout.fileno(), True)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -93,3 +93,51 @@
 @pytest.mark.parametrize("command", ["status", "address"])
 def test_an_unreachable_instance_has_its_own_exit_code(tester, command):
     assert tester.execute(f"{command} 127.0.0.1:1") == ExitCode.UNREACHABLE
+
+
+def serve_metrics(text):
+    """Serve a page of metrics and return its address."""
+    pages = {"/metrics": lambda: ("text/plain", text.encode())}
+    address = free_address()
+    server = build_admin_server(address, AdminApplication(pages))
+    threading.Thread(target=server.safe_start, daemon=True).start()
+    wait_for_listener(address)
+    return address, server
+
+
+def metrics_text(instance, version, on_disk="d1"):
+    return (
+        "# TYPE chervilpitch_state gauge\n"
+        f'chervilpitch_state{{name="configuration_version"}} {version}\n'
+        f'chervilpitch_state{{name="configuration_revision"}} {version}0\n'
+        'chervilpitch_state{name="proof_age_seconds"} 0.4\n'
+        "# TYPE chervilpitch_settings gauge\n"
+        f'chervilpitch_settings{{instance="{instance}",in_force="d1",'
+        f'on_disk="{on_disk}"}} 1\n'
+    )
+
+
+@pytest.mark.parametrize(
+    "second, code",
+    [
+        (metrics_text("b", 4), ExitCode.SUCCESS),
+        (metrics_text("b", 3), ExitCode.DISAGREEMENT),
+        (metrics_text("b", 4, "d2"), ExitCode.DISAGREEMENT),
+        ("not metrics", ExitCode.UNREACHABLE),
+    ],
+)
+def test_versions_shows_whether_instances_agree(tester, second, code):
+    served = [serve_metrics(text) for text in (metrics_text("a", 4), second)]
+    addresses = " ".join(address for address, _ in served)
+    try:
+        assert tester.execute(f"versions {addresses}") == code
+    finally:
+        for _, server in served:
+            server.stop()
+    assert " 40 " in tester.io.fetch_output()
+
+
+def test_versions_names_an_instance_that_is_not_reached(tester):
+    address = free_address()
+    assert tester.execute(f"versions {address}") == ExitCode.UNREACHABLE
+    assert f"{address}: not reachable" in tester.io.fetch_error()
