--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -121,7 +121,7 @@
         """Close the connections that neither have nor are about to send a request."""
         now_s = self._clock()
         for connection in tuple(self._open):
-            if not connection.is_active(now_s):
+            if not (connection.is_active(now_s) or connection.is_ending):
                 connection.close()
 
     def close_timed_out(self) -> None:
--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -16,6 +16,8 @@
 CONNECTION_CLOSE = (b"Connection", b"close")
 CONTINUE_RESPONSE = h11.InformationalResponse(status_code=100, headers=[])
 LINGER_S = 1.0
+"""Time for the caller to close first after the last response: closing a connection with
+unread bytes resets it, and the caller may lose the response."""
 FIRST_REQUEST_S = 0.5
 MAX_PIPELINED_BYTES = 65_536
 """Bytes received behind a request in progress, above which reading is paused."""
@@ -44,8 +46,14 @@
         self._idle_until_s = server.clock() + self._limits.header_timeout_s
         self._task: asyncio.Task | None = None
         self._pipelined_bytes = 0
+        self._is_ending = False
         self._first_request_until_s = server.clock() + FIRST_REQUEST_S
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether the last response is written, and the caller is to close first."""
+        return self._is_ending
+
     def connection_made(self, transport) -> None:
         """Keep the transport and register the connection."""
         self._transport = transport
@@ -60,6 +68,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject a request that is not valid HTTP/1.1."""
+        if self._is_ending:
+            return
         if self._task is not None:
             self._limit_pipelined(len(data))
         try:
@@ -79,13 +89,23 @@
         """
         if self._task is not None or self._head is not None:
             return True
-        return now_s < self._first_request_until_s
+        return not self._is_ending and now_s < self._first_request_until_s
 
     def close(self) -> None:
         """Close after the buffered bytes are written."""
         if self._transport is not None:
             self._transport.close()
 
+    def _end(self):
+        """End the connection after the last response, once the caller has closed it.
+
+        What the caller has sent behind its last request is read and ignored.
+        """
+        self._is_ending = True
+        self._idle_until_s = self._server.clock() + LINGER_S
+        self._resume_reading()
+        self._transport.write_eof()
+
     def check_timeout(self, now_s: float) -> None:
         """Close the connection if its timeout has passed.
 
@@ -98,7 +118,9 @@
         """
         if self._task is not None or now_s < self._idle_until_s:
             return
-        if self._head is not None or self._http.their_state is h11.SEND_BODY:
+        if self._is_ending:
+            self.close()
+        elif self._head is not None or self._http.their_state is h11.SEND_BODY:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.close()
@@ -186,10 +208,15 @@
     def _send(self, response):
         self._head = None
         is_last = self._server.is_closing or self._http.their_state is not h11.DONE
-        self._write_response(response, is_last)
-        if is_last or self._http.our_state is not h11.DONE:
+        try:
+            self._write_response(response, is_last)
+        except h11.LocalProtocolError:
+            log.exception("A response could not be written; closing the connection.")
             self.close()
             return
+        if is_last or self._http.our_state is not h11.DONE:
+            self._end()
+            return
         self._http.start_next_cycle()
         self._resume_reading()
         self._idle_until_s = self._server.clock() + self._limits.idle_timeout_s
@@ -217,7 +244,6 @@
         """Respond to a request that can't be read, and close."""
         self._head = None
         self._release_body()
-        self._idle_until_s = self._server.clock() + LINGER_S
         if self._transport.is_closing():
             return
         log.info(
@@ -226,7 +252,7 @@
         )
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._write_response(ServerResponse(int(status), []), True)
-        self.close()
+        self._end()
 
     def _release_body(self):
         self._server.buffers.release(self._body_bytes)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -167,3 +167,13 @@
     }
     body = await reader.readexactly(int(headers["content-length"]))
     return int(first.split()[1]), headers, body
+
+
+def run_scenario(scenario):
+    """Run a scenario, which fails after 20 s."""
+
+    async def limited():
+        async with asyncio.timeout(20):
+            await scenario()
+
+    asyncio.run(limited())
