--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -176,10 +176,11 @@
         if pending is None:
             return
         self._replace_silent_aggregator(sender)
-        if not is_proof_current(message.proof_age_s):
+        is_current = is_proof_current(message.proof_age_s)
+        if pending.confirms_readers:
+            self._election.record_answer(pending.asked_at_s, is_current)
+        if not is_current:
             self._source_index += 1
-        elif pending.confirms_readers:
-            self._election.record_answer(pending.asked_at_s)
         if pending.is_group_member:
             self._apply_members(message)
         state = self._state
--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -103,7 +103,7 @@
     def log_fields(self, now_s: float) -> dict[str, float]:
         """Return the values that admission depends on, as fields of a log record."""
         return {
-            "level": round(self._level, 1),
+            "tokens": round(self._level, 1),
             "unreported": round(self._unreported(now_s), 1),
             "sources": len(self._sources),
         }
--- a/src/chervilpitch/policy/reader_election.py
+++ b/src/chervilpitch/policy/reader_election.py
@@ -15,7 +15,9 @@
 MAX_STAGGER_STEPS = 4
 GROUP_STAGGER_S = 0.8
 FALLBACK_READ_S = 4.0
-MAX_PROOF_AGE_S = 2.2
+STALE_ANSWER_TIMEOUT_S = 0.3
+MAX_PROOF_AGE_S = 2.7
+"""Age that the proof of a reader reaches between two watches, with a margin."""
 
 
 class ReaderElection:
@@ -37,6 +39,7 @@
     def __init__(self, now_s: float):
         self._started_at_s = now_s
         self._answered_at_s: float | None = None
+        self._is_answer_stale = False
         self._fallback_until_s = float("-inf")
         self._is_reading = False
 
@@ -45,9 +48,20 @@
         """Whether this instance reads the store now."""
         return self._is_reading
 
-    def record_answer(self, asked_at_s: float) -> None:
-        """Record a current answer by the time at which its query was sent."""
-        self._answered_at_s = max(asked_at_s, self._answered_at_s or asked_at_s)
+    def record_answer(self, asked_at_s: float, is_current: bool = True) -> None:
+        """Record an answer by the time at which its query was sent.
+
+        Parameters
+        ----------
+        asked_at_s : float
+            Monotonic time in seconds.
+        is_current : bool
+            Whether it had a current proof. If not, the sender runs and can't read the
+            store, so that others need not wait as long before they read.
+        """
+        self._is_answer_stale = not is_current
+        if is_current:
+            self._answered_at_s = max(asked_at_s, self._answered_at_s or asked_at_s)
 
     def update(
         self,
@@ -92,7 +106,10 @@
     def _has_timed_out(self, stagger_s, now_s):
         if self._answered_at_s is None:
             return now_s - self._started_at_s > FIRST_ANSWER_TIMEOUT_S + stagger_s
-        return now_s - self._answered_at_s > ANSWER_TIMEOUT_S + stagger_s
+        timeout_s = (
+            STALE_ANSWER_TIMEOUT_S if self._is_answer_stale else ANSWER_TIMEOUT_S
+        )
+        return now_s - self._answered_at_s > timeout_s + stagger_s
 
 
 def is_proof_current(proof_age_s: float) -> bool:
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -176,3 +176,8 @@
     assert not any(bucket.admit(20.1, share=0.1) for _ in range(20))
     admitted = sum(bucket.admit(21.0 + step * 0.01, share=0.1) for step in range(500))
     assert 1 <= admitted <= 10.0 * 0.1 * 6 + 1
+
+
+def test_log_fields_do_not_replace_those_of_every_line():
+    fields = FleetBucket(10.0, 10.0, 0.0, 0.0).log_fields(10.0)
+    assert not fields.keys() & {"event", "level", "timestamp"}
