--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -118,11 +118,10 @@
         self._is_closing = True
 
     def close_idle(self) -> None:
-        """Close the connections that neither have nor are about to send a request."""
+        """Close connections without a request at this call and the one before."""
         now_s = self._clock()
         for connection in tuple(self._open):
-            if not (connection.is_active(now_s) or connection.is_ending):
-                connection.close()
+            connection.close_if_idle(now_s)
 
     def close_timed_out(self) -> None:
         """Close connections whose timeout has passed."""
--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -47,13 +47,9 @@
         self._task: asyncio.Task | None = None
         self._pipelined_bytes = 0
         self._is_ending = False
+        self._is_found_idle = False
         self._first_request_until_s = server.clock() + FIRST_REQUEST_S
 
-    @property
-    def is_ending(self) -> bool:
-        """Whether the last response is written, and the caller is to close first."""
-        return self._is_ending
-
     def connection_made(self, transport) -> None:
         """Keep the transport and register the connection."""
         self._transport = transport
@@ -68,6 +64,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject a request that is not valid HTTP/1.1."""
+        self._is_found_idle = False
         if self._is_ending:
             return
         if self._task is not None:
@@ -91,6 +88,22 @@
             return True
         return not self._is_ending and now_s < self._first_request_until_s
 
+    def close_if_idle(self, now_s: float) -> None:
+        """Close if no request is in progress at this call and the one before.
+
+        Bytes that arrived while the process was stalled are read between two calls.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        """
+        if self._is_ending or self.is_active(now_s):
+            return
+        if self._is_found_idle:
+            self.close()
+        self._is_found_idle = True
+
     def close(self) -> None:
         """Close after the buffered bytes are written."""
         if self._transport is not None:
--- a/tests/gateway/test_server_connection.py
+++ b/tests/gateway/test_server_connection.py
@@ -10,6 +10,8 @@
 from .harness import GatewayHarness, encode_request, read_response, run_scenario
 
 MAX_SENT_BEHIND_BYTES = 32_000_000
+CALLERS = 300
+STOP_AFTER_S = 0.25
 
 
 def test_pipelined_requests_are_answered_in_order():
@@ -182,3 +184,51 @@
         writer.close()
 
     run_scenario(scenario)
+
+
+def test_request_that_arrived_while_the_process_was_stalled_is_served_in_a_stop():
+    async def scenario():
+        harness = GatewayHarness()
+        await harness.start(FakeTarget("t1"))
+        reader, writer = await connect(harness)
+        await asyncio.sleep(server_connection.FIRST_REQUEST_S)
+        harness.http_server.close_after_responses()
+        writer.write(encode_request("/read/x"))
+        harness.http_server.close_idle()
+        status, _, _ = await read_response(reader)
+        assert status == 200
+        harness.http_server.close_idle()
+        writer.close()
+
+    run_scenario(scenario)
+
+
+def test_hundreds_of_requests_around_the_begin_of_a_stop_are_all_answered():
+    """Some are being served, some are sent then, some by callers that just connect."""
+
+    async def scenario():
+        targets = [FakeTarget(f"t{n}", service_time_s=0.05) for n in range(20)]
+        harness = GatewayHarness()
+        await harness.start(*targets, limits={})
+
+        async def call(number):
+            await asyncio.sleep(2 * STOP_AFTER_S * number / CALLERS)
+            status, headers, _ = await harness.send_request("/open/x", wait_ms=8000)
+            return status, headers.get("connection")
+
+        async def stop():
+            await asyncio.sleep(STOP_AFTER_S)
+            harness.state.begin_leaving()
+            harness.http_server.close_after_responses()
+            while True:
+                harness.http_server.close_idle()
+                await asyncio.sleep(0.02)
+
+        stopping = asyncio.create_task(stop())
+        answers = await asyncio.gather(*map(call, range(CALLERS)))
+        stopping.cancel()
+        assert {status for status, _ in answers} <= {200, 503}
+        assert any(status == 200 for status, _ in answers)
+        assert all(connection == "close" for _, connection in answers[-100:])
+
+    run_scenario(scenario)
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -2,15 +2,19 @@
 
 import asyncio
 
+import pytest
+
 from chervilpitch.gateway.gossip import Gossip
 from chervilpitch.gateway.store_reader import StoreReader
 from chervilpitch.platform import CONFIGURATION_KEY, ENTRY_PREFIX
 from chervilpitch.transport.clock import monotonic_s
 from standins.store import FakeStore
-from standins.target import FakeTarget
+from standins.target import Behaviour, FakeTarget
 
 from .harness import SERVICE, configuration, new_state
 
+MAX_START_S = 4.0
+
 
 class StoreReaderHarness:
     """A newly started instance and the store that it reads."""
@@ -53,3 +57,21 @@
         assert harness.store.calls == 1
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "behaviour", [item for item in Behaviour if item.value.startswith("endless")]
+)
+def test_store_that_sends_without_end_is_given_up(behaviour):
+    async def scenario():
+        store = FakeTarget(None, behaviour)
+        await store.start()
+        state = new_state("a", monotonic_s)
+        gossip = Gossip(state, (), monotonic_s)
+        reader = StoreReader(store.address, state, gossip, monotonic_s)
+        async with asyncio.timeout(MAX_START_S):
+            await reader.read_at_start()
+        assert not state.is_ready()
+        assert reader.call_count == 1
+
+    asyncio.run(scenario())
