--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -58,7 +58,6 @@
 LOG_DRAIN_INTERVAL_S = 0.4
 STATUS_INTERVAL_S = 10.0
 STOP_ACCEPTING_BEFORE_END_S = 2.6
-STOP_MARGIN_S = 0.25
 STOP_POLL_INTERVAL_S = 0.1
 GC_THRESHOLDS = (20_000, 20, 50)
 """Allocations and collections between garbage collections, as few cycles arise."""
@@ -253,7 +252,7 @@
         self._tasks.append(asyncio.create_task(self._stop()))
 
     async def _stop(self):
-        end_at_s = monotonic_s() + self._state.bounds.stop_s - STOP_MARGIN_S
+        end_at_s = self._state.stop.ends_at_s
         accepting_s = self._state.bounds.stop_s - STOP_ACCEPTING_BEFORE_END_S
         await asyncio.sleep(max(0.0, accepting_s))
         self._listener.close()
--- a/src/chervilpitch/gateway/request_path.py
+++ b/src/chervilpitch/gateway/request_path.py
@@ -25,6 +25,8 @@
 
 DEFAULT_CALLER_TIMEOUT_S = 60.0
 NOT_READY_RETRY_AFTER_S = 0.5
+STOPPING_RETRY_AFTER_S = 0.05
+"""Short, as another instance can serve the request at once."""
 
 NOT_RUN_STATUSES = {
     RefusalKind.RATE_EXCEEDED: HTTPStatus.TOO_MANY_REQUESTS,
@@ -104,37 +106,45 @@
 
     async def _serve(self, request) -> ServerResponse:
         metadata = platform.parse_request_metadata(request.headers)
-        admitted = self._admit(request, metadata)
+        caller_timeout_s = (
+            DEFAULT_CALLER_TIMEOUT_S
+            if metadata.timeout_s is None
+            else metadata.timeout_s
+        )
+        admitted = self._admit(request, metadata, caller_timeout_s)
         if admitted.is_err():
             refusal = admitted.unwrap_err()
             result = ForwardResult(None, refusal.kind, False, (), refusal.retry_after_s)
             labels = _RequestLabels(refusal.route, refusal.account)
             return self._finish(request, metadata, labels, result)
         route, account = admitted.unwrap()
-        caller_timeout_s = (
-            DEFAULT_CALLER_TIMEOUT_S
-            if metadata.timeout_s is None
-            else metadata.timeout_s
-        )
         outgoing = OutgoingRequest(
             request,
             metadata.request_id,
             route,
             pick_service(route, random.random()),
             account,
-            request.arrived_at_s + min(caller_timeout_s, route.timeout_s),
+            _deadline_at_s(request, route, caller_timeout_s),
         )
         result = await self._forwarder.forward(outgoing)
         return self._finish(
             request, metadata, _RequestLabels(route.name, account), result
         )
 
-    def _admit(self, request, metadata) -> Result[_Admitted, _Refusal]:
+    def _admit(
+        self, request, metadata, caller_timeout_s
+    ) -> Result[_Admitted, _Refusal]:
         if not self._state.configuration.version:
             return Err(_Refusal(RefusalKind.NOT_READY, NOT_READY_RETRY_AFTER_S))
         route = self._match(request)
         if route is None:
             return Err(self._denial(RefusalKind.ROUTE_UNKNOWN))
+        stop = self._state.stop
+        deadline_at_s = _deadline_at_s(request, route, caller_timeout_s)
+        if stop is not None and not stop.may_accept(deadline_at_s, self._clock()):
+            return Err(
+                _Refusal(RefusalKind.NOT_READY, STOPPING_RETRY_AFTER_S, route.name)
+            )
         if not route.needs_key:
             return Ok(_Admitted(route, ""))
         return self._authenticate(metadata.key).and_then(
@@ -206,6 +216,10 @@
         return response
 
 
+def _deadline_at_s(request, route, caller_timeout_s) -> float:
+    return request.arrived_at_s + min(caller_timeout_s, route.timeout_s)
+
+
 def _response_of(request_id: str, result: ForwardResult) -> ServerResponse:
     if result.response is not None:
         headers = platform.response_headers(result.response.headers)
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -21,6 +21,7 @@
     LatencyBaseline,
     Location,
     MemberTable,
+    PlannedStop,
     RetryBudget,
     RouteTable,
     UpstreamListing,
@@ -80,7 +81,7 @@
         self._admissions = UsageCounters()
         self._accounts: Mapping[str, AccountQuota] = {}
         self._is_removal_pending = False
-        self._is_leaving = False
+        self._stop: PlannedStop | None = None
         self._in_progress = 0
 
     @property
@@ -159,16 +160,21 @@
     @property
     def is_leaving(self) -> bool:
         """Whether a stop has begun."""
-        return self._is_leaving
+        return self._stop is not None
 
     @property
     def in_progress(self) -> int:
         """Number of requests in progress."""
         return self._in_progress
 
+    @property
+    def stop(self) -> PlannedStop | None:
+        """The planned stop of this instance, if it has begun."""
+        return self._stop
+
     def begin_leaving(self) -> None:
         """Mark this instance as leaving."""
-        self._is_leaving = True
+        self._stop = PlannedStop(self._clock(), self._bounds.stop_s)
 
     def begin_request(self) -> None:
         """Count a request that starts."""
@@ -182,7 +188,7 @@
         """Return whether callers should use this instance."""
         has_configuration = self._configuration.version > 0
         is_fresh = self._freshness.may_use_keys(self._clock())
-        return has_configuration and is_fresh and not self._is_leaving
+        return has_configuration and is_fresh and not self.is_leaving
 
     def apply_configuration_items(
         self, items: tuple[StoreItem, ...], proved_at_s: float
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -34,6 +34,7 @@
 from .replica import ItemReplica
 from .report_totals import ReportTotals
 from .routes import RouteTable, pick_service
+from .stopping import PlannedStop
 from .upstream_state import UpstreamReport, UpstreamState
 from .usage import AccountUsage, ReportedUsage, UsageCounters
 
@@ -55,6 +56,7 @@
     "Member",
     "MemberState",
     "MemberTable",
+    "PlannedStop",
     "ReaderElection",
     "ReportTotals",
     "ReportedUsage",
--- /dev/null
+++ b/src/chervilpitch/policy/stopping.py
@@ -0,0 +1,54 @@
+"""Which requests an instance still accepts during a planned stop.
+
+Callers learn of a stop within a few seconds and go elsewhere. A request that arrives
+later and may last beyond the end of the stop, because its upstream hangs, would be cut.
+It is refused at once instead: it has not run, and another instance can serve it.
+"""
+
+__all__ = ["PlannedStop"]
+
+ACCEPT_ALL_S = 2.5
+END_MARGIN_S = 0.25
+
+
+class PlannedStop:
+    """A planned stop of this instance.
+
+    Parameters
+    ----------
+    begun_at_s : float
+        Monotonic time in seconds at which it began.
+    duration_s : float
+        Time in seconds after which the process is killed.
+
+    Examples
+    --------
+    >>> stop = PlannedStop(begun_at_s=100.0, duration_s=10.0)
+    >>> stop.may_accept(deadline_at_s=120.0, now_s=101.0)
+    True
+    >>> stop.may_accept(deadline_at_s=112.0, now_s=104.0)
+    False
+    >>> stop.may_accept(deadline_at_s=107.0, now_s=104.0)
+    True
+    """
+
+    def __init__(self, begun_at_s: float, duration_s: float):
+        self._ends_at_s = begun_at_s + duration_s - END_MARGIN_S
+        self._accepts_all_until_s = begun_at_s + ACCEPT_ALL_S
+
+    @property
+    def ends_at_s(self) -> float:
+        """Monotonic time in seconds at which requests in progress are cut."""
+        return self._ends_at_s
+
+    def may_accept(self, deadline_at_s: float, now_s: float) -> bool:
+        """Return whether to accept a request that ends by its deadline.
+
+        Parameters
+        ----------
+        deadline_at_s : float
+            Deadline of the request in monotonic seconds.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        return now_s < self._accepts_all_until_s or deadline_at_s <= self._ends_at_s
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -5,12 +5,16 @@
 import pytest
 from structlog.testing import capture_logs
 
+from chervilpitch.platform import Bounds
+from chervilpitch.policy.stopping import ACCEPT_ALL_S
 from standins.target import Behaviour, FakeTarget
 
 from .harness import (
+    HOST,
     MAX_RESPONSES_BYTES,
     GatewayHarness,
     encode_request,
+    route,
     run_scenario,
 )
 
@@ -336,3 +340,27 @@
         assert status == 200
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(("timeout_ms", "expected"), [(500, 200), (9_000, 503)])
+def test_late_in_a_stop_only_requests_that_will_end_before_it_are_accepted(
+    timeout_ms, expected
+):
+    async def scenario():
+        target = FakeTarget("t1")
+        harness = GatewayHarness(Bounds(stop_s=4.0))
+        await harness.start(target, virtual_hosts=[host_with_timeout("20s")])
+        harness.state.begin_leaving()
+        await asyncio.sleep(ACCEPT_ALL_S)
+        status, headers, _ = await harness.send_request(
+            "/book/x", "POST", b"{}", wait_ms=timeout_ms
+        )
+        assert status == expected
+        assert len(target.runs) == (expected == 200)
+        assert ("retry-after" in headers) == (expected == 503)
+
+    run_scenario(scenario)
+
+
+def host_with_timeout(timeout):
+    return {"host": HOST, "path_routes": [route("book", "unsafe", timeout=timeout)]}
