--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -142,7 +142,7 @@
             self._last_number,
             self._state.configuration_revision,
             0 if self._needs_all_entries else self._state.entry_items.revision,
-            self._members_digest,
+            self._members_digest if self._members.has_relayed else 0,
             is_group_member,
         )
         self._socket.send([member.peers_address], question)
--- a/src/chervilpitch/policy/members.py
+++ b/src/chervilpitch/policy/members.py
@@ -152,6 +152,11 @@
         self._relayed_at_s = now_s
         return self._merge(listed, float("-inf"))
 
+    @property
+    def has_relayed(self) -> bool:
+        """Whether the list of an aggregator is in use."""
+        return bool(self._relayed)
+
     def confirm_relayed(self, now_s: float) -> None:
         """Record that the list of an aggregator has not changed."""
         self._relayed_at_s = now_s
--- a/tests/gateway/test_large_region.py
+++ b/tests/gateway/test_large_region.py
@@ -81,6 +81,18 @@
     assert sum(region.received.values()) <= MAX_IDLE_DATAGRAMS_PER_S * 4 * count
 
 
+def test_instance_that_was_an_aggregator_for_a_moment_gets_the_list_of_members_again():
+    region = RegionSimulation(40, seed=12)
+    region.run(DISCOVERY_S)
+    name = next(
+        name for name, gossip in region.gossips.items() if gossip.region.aggregator
+    )
+    region.states[name].members.end_relaying(region.now_s)
+    for _ in range(8):
+        region.run(0.5)
+        assert region.known_by(name) == set(region.gossips) - {name}
+
+
 def test_both_readers_that_stop_are_replaced_before_rates_are_limited_for_long():
     region = RegionSimulation(100, seed=11)
     region.run(DISCOVERY_S + 2.0)
