--- a/src/chervilpitch/gateway/messages.py
+++ b/src/chervilpitch/gateway/messages.py
@@ -241,8 +241,8 @@
     entries_digest : int
         Checksum of all entries that the answering instance knows.
     members_digest : int
-        Checksum of the live members that the answering instance knows; 0 if none
-        were requested.
+        Checksum of the live members that the answering instance knows; 0 if the
+        requesting instance is an aggregator.
     members : tuple of Member
         These members, if the requesting instance has another list.
     heard_share : float
--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -150,9 +150,18 @@
     def receive_question(
         self, message: StateQuestion, sender: str, address: str
     ) -> None:
-        """Answer another instance's question."""
+        """Answer another instance's question.
+
+        One that is not an aggregator here also gets the list of members, although it
+        may take itself for an aggregator.
+        """
         age_s = self._state.freshness.age_s(self._clock())
-        answer = self._build_answer(message, min(age_s, NO_PROOF_AGE_S))
+        is_group_member = message.is_group_member or not any(
+            item.name == sender for item in self._region.other_aggregators
+        )
+        answer = self._build_answer(
+            message, min(age_s, NO_PROOF_AGE_S), is_group_member
+        )
         if self._socket.send([address], answer):
             return
         log.warning(
@@ -183,6 +192,8 @@
             self._source_index += 1
         if pending.is_group_member:
             self._apply_members(message)
+        elif message.members:
+            self._merge_members(message)
         state = self._state
         if message.proof_age_s < NO_PROOF_AGE_S:
             state.apply_configuration_items(
@@ -241,7 +252,17 @@
         elif message.members_digest and message.members_digest == self._members_digest:
             self._members.confirm_relayed(now_s)
 
-    def _build_answer(self, question, age_s) -> StateAnswer:
+    def _merge_members(self, message):
+        """Learn of members by which this instance is no aggregator.
+
+        One that knows few of its region takes itself for an aggregator, so that the
+        aggregators of the others send it nothing.
+        """
+        new = self._members.merge(message.members, self._clock())
+        log_discovered(new)
+        self._region.refresh_soon()
+
+    def _build_answer(self, question, age_s, is_group_member) -> StateAnswer:
         configuration = self._state.configuration_item
         is_newer = (
             configuration is not None
@@ -260,7 +281,7 @@
             is_complete,
             entries.digest,
         )
-        if not question.is_group_member:
+        if not is_group_member:
             return answer
         digest = self._region.known_digest
         has_changed = digest != question.members_digest
--- a/tests/gateway/region_simulation.py
+++ b/tests/gateway/region_simulation.py
@@ -109,6 +109,15 @@
         alive = self.states[name].members.alive(self.now_s)
         return {item.name for item in alive if item.state != MemberState.LEAVING}
 
+    def forget_members(self, name, but):
+        """Let an instance forget all others but the first few by rank."""
+        members = self.states[name].members
+        members.end_relaying(self.now_s)
+        kept = {item.name for item in members.ranked(self.now_s)[:but]}
+        for other in set(members._members) - kept:
+            del members._members[other], members._heard_at_s[other]
+        members._change_count += 1
+
     def missing(self):
         """Return the pairs of an instance and a running one that it doesn't know."""
         names = set(self.gossips)
--- a/tests/gateway/test_large_region.py
+++ b/tests/gateway/test_large_region.py
@@ -93,6 +93,22 @@
         assert region.known_by(name) == set(region.gossips) - {name}
 
 
+@pytest.mark.parametrize("count", (40, 100))
+def test_instance_that_has_lost_sight_of_its_region_finds_it_again(count):
+    """Knowing few others, it takes itself for an aggregator."""
+    region = RegionSimulation(count, seed=13)
+    region.run(DISCOVERY_S)
+    name = next(
+        name for name, gossip in region.gossips.items() if gossip.region.aggregator
+    )
+    region.forget_members(name, but=2)
+    region.run(2.0)
+    for _ in range(8):
+        region.run(0.5)
+        assert region.known_by(name) == set(region.gossips) - {name}
+    assert not region.gossips[name].region.is_aggregator
+
+
 def test_both_readers_that_stop_are_replaced_before_rates_are_limited_for_long():
     region = RegionSimulation(100, seed=11)
     region.run(DISCOVERY_S + 2.0)
