--- a/src/chervilpitch/platform/bounds.py
+++ b/src/chervilpitch/platform/bounds.py
@@ -1,5 +1,6 @@
 """Bounds that the platform's settings promise to its users."""
 
+import re
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -47,6 +48,7 @@
     address_lifetime_s: float = 5.0
 
 
+NAME_PATTERN = re.compile(r"[a-z][a-z0-9_]*")
 DECODERS = {
     "drain": ("drain_s", parse_duration_s),
     "grace": ("stop_s", parse_duration_s),
@@ -72,7 +74,8 @@
     Returns
     -------
     Result
-        The bounds, or every text whose value can't be decoded.
+        The bounds, or every text that has another form or a value that can't be
+        decoded.
 
     Examples
     --------
@@ -82,7 +85,10 @@
     values = {}
     problems = []
     for text in texts:
-        name, _, value = text.partition("=")
+        name, separator, value = text.partition("=")
+        if not NAME_PATTERN.fullmatch(name) or not separator:
+            problems.append(text)
+            continue
         if name not in DECODERS:
             continue
         field, decode = DECODERS[name]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -3,6 +3,7 @@
 import base64
 import hashlib
 import json
+import pathlib
 
 import pytest
 
@@ -140,6 +141,19 @@
     assert platform.parse_watch(status, body).unwrap_err() is problem
 
 
+@pytest.mark.parametrize(
+    "text", ['{"grace":"10s"', '"grace":"10s"', "grace", "=10s", "grace : 10s"]
+)
+def test_bounds_in_another_form_are_reported_instead_of_ignored(text):
+    assert platform.decode_bounds(("drain=2s", text)).unwrap_err() == (text,)
+
+
+def test_template_of_the_settings_renders_each_bound_as_name_and_value():
+    """The platform fills in a table as JSON where no section lists its entries."""
+    template = pathlib.Path("deploy/gateway.ini.in").read_text()
+    assert "values = {{#bounds}}{{@}}={{.}}{{,}}{{/bounds}}\n" in template
+
+
 def test_unknown_bounds_are_ignored_and_malformed_ones_reported():
     bounds = platform.decode_bounds(("revoke=4s", "new=1", "drain=1500ms")).unwrap()
     assert (bounds.revocation_s, bounds.drain_s) == (4.0, 1.5)
