--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -152,16 +152,16 @@
     ) -> None:
         """Answer another instance's question.
 
-        One that is not an aggregator here also gets the list of members, although it
-        may take itself for an aggregator.
+        One that takes itself for an aggregator and is none here also gets the members
+        that were heard of recently.
         """
         age_s = self._state.freshness.age_s(self._clock())
-        is_group_member = message.is_group_member or not any(
-            item.name == sender for item in self._region.other_aggregators
-        )
-        answer = self._build_answer(
-            message, min(age_s, NO_PROOF_AGE_S), is_group_member
-        )
+        answer = self._build_answer(message, min(age_s, NO_PROOF_AGE_S))
+        if message.is_group_member:
+            answer = self._add_members(answer, message.members_digest)
+        elif all(item.name != sender for item in self._region.other_aggregators):
+            recent = self._members.to_relay(self._clock())
+            answer = answer._replace(members=(self._members.own, *recent))
         if self._socket.send([address], answer):
             return
         log.warning(
@@ -253,16 +253,17 @@
             self._members.confirm_relayed(now_s)
 
     def _merge_members(self, message):
-        """Learn of members by which this instance is no aggregator.
+        """Learn of the members by which this instance is no aggregator.
 
-        One that knows few of its region takes itself for an aggregator, so that the
-        aggregators of the others send it nothing.
+        One that knows few of its region takes itself for an aggregator, and the
+        aggregators that the others know send it nothing.
         """
         new = self._members.merge(message.members, self._clock())
         log_discovered(new)
-        self._region.refresh_soon()
+        if new:
+            self._region.refresh_soon()
 
-    def _build_answer(self, question, age_s, is_group_member) -> StateAnswer:
+    def _build_answer(self, question, age_s) -> StateAnswer:
         configuration = self._state.configuration_item
         is_newer = (
             configuration is not None
@@ -271,7 +272,7 @@
         entries = self._state.entry_items
         changed = entries.changes_since(question.entries_revision)
         is_complete = question.entries_revision == 0 or changed is None
-        answer = StateAnswer(
+        return StateAnswer(
             question.number,
             age_s,
             self._state.configuration_revision,
@@ -281,12 +282,12 @@
             is_complete,
             entries.digest,
         )
-        if not is_group_member:
-            return answer
+
+    def _add_members(self, answer, known_digest) -> StateAnswer:
+        """Return an answer with the list of members, if the known one is another."""
         digest = self._region.known_digest
-        has_changed = digest != question.members_digest
         return answer._replace(
             members_digest=digest,
-            members=self._region.known if has_changed else (),
+            members=self._region.known if digest != known_digest else (),
             heard_share=self._members.heard_share(self._clock()),
         )
