--- a/src/chervilpitch/policy/freshness.py
+++ b/src/chervilpitch/policy/freshness.py
@@ -5,7 +5,8 @@
 __all__ = ["Freshness", "FreshnessLimits"]
 
 TRANSIT_MARGIN_S = 0.3
-DENIAL_MARGIN_S = 0.8
+ROUTINE_PROOF_AGE_S = 2.8
+"""Age that proofs reach where nothing is wrong; unknown keys are denied until then."""
 MAX_GAP_S = 2.5
 
 
@@ -36,9 +37,11 @@
             is lower by a margin for transit.
         configuration_s : float
             Seconds within which a new configuration must be in force; the limit
-            is higher by a margin.
+            is lower by a margin for transit, but not so low that instances could
+            never deny for good.
         """
-        return cls(revocation_s - TRANSIT_MARGIN_S, configuration_s + DENIAL_MARGIN_S)
+        denials_s = max(configuration_s - TRANSIT_MARGIN_S, ROUTINE_PROOF_AGE_S)
+        return cls(revocation_s - TRANSIT_MARGIN_S, denials_s)
 
 
 class Freshness:
--- a/tests/policy/test_store_view.py
+++ b/tests/policy/test_store_view.py
@@ -1,5 +1,7 @@
 """Replicas of store items, freshness, upstream listing and retry budget."""
 
+import pytest
+
 from chervilpitch.model import StoreItem, UpstreamEntry
 from chervilpitch.policy import (
     Freshness,
@@ -126,3 +128,10 @@
             budget.count_retry(1.5)
             retries += 1
     assert 36 <= retries <= 0.2 * sum(range(36)) + 58
+
+
+@pytest.mark.parametrize("configuration_s", (3.0, 4.0, 10.0))
+def test_denials_end_before_a_newer_configuration_must_be_in_force(configuration_s):
+    """The key or path may be known in a configuration that has not arrived."""
+    limits = FreshnessLimits.from_bounds(5.0, configuration_s)
+    assert limits.denials_s < configuration_s
