Log the open connections at each phase of a stop

The lines of a stop gave the requests in progress only at its begin and end, so that nobody could tell whether such a request came on a connection that was kept open or on a new one, nor when the instance ceased to accept connections. Change: lines at the begin, at the close of the listener and at the end give the requests in progress and the open connections.

--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -113,6 +113,11 @@
         now_s = self._clock()
         return sum(connection.is_active(now_s) for connection in self._open)
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._open)
+
     def close_after_responses(self) -> None:
         """Close each connection after its next response."""
         self._is_closing = True
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -126,7 +126,7 @@
         log.info("Instance started.", instance=self._settings.instance.name)
         self._start_tasks()
         await self._stopped.wait()
-        log.info("Instance stopped.", in_progress=self._state.in_progress)
+        log.info("Instance stopped.", **self._work_fields())
 
     async def _listen(self, loop):
         listen = self._settings.listen
@@ -245,17 +245,25 @@
     def _begin_stop(self):
         if self._state.is_leaving:
             return
-        log.info("Stop begins.", in_progress=self._state.in_progress)
+        log.info("Stop begins.", **self._work_fields())
         self._state.begin_leaving()
         self._gossip.announce_leaving()
         self._caller_server.close_after_responses()
         self._tasks.append(asyncio.create_task(self._stop()))
 
+    def _work_fields(self) -> dict[str, int]:
+        """Return the amount of unfinished work, for log lines about a stop."""
+        return {
+            "in_progress": self._state.in_progress,
+            "connections": self._caller_server.open_count,
+        }
+
     async def _stop(self):
         end_at_s = self._state.stop.ends_at_s
         accepting_s = self._state.bounds.stop_s - STOP_ACCEPTING_BEFORE_END_S
         await asyncio.sleep(max(0.0, accepting_s))
         self._listener.close()
+        log.info("New connections are no longer accepted.", **self._work_fields())
         self._caller_server.close_idle()
         while self._caller_server.active_count and monotonic_s() < end_at_s:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
