--- /dev/null
+++ b/tests/whole/test_gateway_stop.py
@@ -0,0 +1,86 @@
+"""Planned stops of gateway processes while callers keep connections open."""
+
+import asyncio
+import contextlib
+import signal
+
+import pytest
+
+from standins.gateway_fleet import CALLERS_PORT, GatewayFleet
+from standins.target import FakeTarget
+from tests.gateway.harness import configuration, encode_request, read_response
+
+SCENARIO_TIMEOUT_S = 60
+STOP_S = 3.0
+LISTENER_CLOSES_AFTER_S = 0.4
+SERVICE_TIME_S = 0.3
+
+
+class KeptConnection:
+    """A connection to an instance that stays open between requests."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, request_id, path="/book/x", **options):
+        """Send a request; return its status, None if the connection ends instead."""
+        try:
+            self._writer.write(
+                encode_request(path, "POST", b"{}", request_id=request_id, **options)
+            )
+            return (await read_response(self._reader))[0]
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return None
+
+
+@contextlib.asynccontextmanager
+async def kept_connection(instance):
+    """Connect to an instance; the connection is closed when the context is left."""
+    reader, writer = await asyncio.open_connection(instance.host, CALLERS_PORT)
+    try:
+        yield KeptConnection(reader, writer)
+    finally:
+        writer.close()
+
+
+def run_scenario(scenario):
+    """Run a scenario, which fails after 60 s."""
+
+    async def limited():
+        async with asyncio.timeout(SCENARIO_TIMEOUT_S):
+            await scenario()
+
+    asyncio.run(limited())
+
+
+async def start_instance(fleet, number, target):
+    """Start an upstream and an instance that serves."""
+    await fleet.add_target(target)
+    fleet.store.put("op/config", configuration())
+    instance = await fleet.start_instance(number)
+    await fleet.wait_ready(instance)
+    return instance
+
+
+def ids_run_by(target):
+    """Return the ids of the requests that an upstream has run."""
+    return [headers["x-chervilpitch-request-id"] for _, _, headers, _ in target.runs]
+
+
+@pytest.mark.parametrize("sent_after_s", [0.02, 0.05, 0.08, 0.15])
+def test_request_on_a_kept_connection_late_in_a_stop_is_not_cut(tmp_path, sent_after_s):
+    async def scenario():
+        async with GatewayFleet(tmp_path, f"grace={STOP_S}s,revoke=5000ms") as fleet:
+            target = FakeTarget("t1")
+            instance = await start_instance(fleet, 1, target)
+            async with kept_connection(instance) as connection:
+                assert await connection.send("first") == 200
+                target.service_time_s = SERVICE_TIME_S
+                instance.process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(LISTENER_CLOSES_AFTER_S + sent_after_s)
+                status = await connection.send("late")
+            assert status == 200 or "late" not in ids_run_by(target)
+            assert await instance.process.wait() == 0
+
+    run_scenario(scenario)
