End a stop only when no connection of a caller is left that could bring a request

What callers saw: LOST. A request sent 3.5 s after SIGTERM on a connection that had been kept open reached an upstream, and the connection was closed with no answer; callers may not repeat a booking after that. Cause: after it had closed its listener an instance looked once whether a request was in progress. If none was, it waited a tenth of a second and ended, while its idle connections still brought requests and each of these was accepted and passed on. Ruled out: the platform's kill (the process writes Instance stopped. itself, 2.5 s before it), a deadline beyond the end of the stop (2.2 s away). Change: drain_connections ends when no connection is open, or with the stop. Idle ones are closed in each check; what arrives after that is not read, so that the caller may repeat it. Connections whose last response is still being written or read keep the process as well. active_count, which left those out, is gone; tests that read it now require that no connection is open, which is stricter.

--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -107,12 +107,6 @@
         """Whether connections close after their next response."""
         return self._is_closing
 
-    @property
-    def active_count(self) -> int:
-        """Number of connections with a request in progress, or too new to have one."""
-        now_s = self._clock()
-        return sum(connection.is_active(now_s) for connection in self._open)
-
     @property
     def open_count(self) -> int:
         """Number of open connections."""
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -27,6 +27,7 @@
 
 from .buffers import BufferLimit
 from .directory import AddressDirectory
+from .draining import drain_connections
 from .forward import Forwarder
 from .gossip import Gossip
 from .http_server import HttpServer, ServerResponse
@@ -57,8 +58,6 @@
 MAINTENANCE_INTERVAL_S = 0.5
 LOG_DRAIN_INTERVAL_S = 0.4
 STATUS_INTERVAL_S = 10.0
-STOP_ACCEPTING_BEFORE_END_S = 2.6
-STOP_POLL_INTERVAL_S = 0.1
 GC_THRESHOLDS = (20_000, 20, 50)
 """Allocations and collections between garbage collections, as few cycles arise."""
 
@@ -259,16 +258,10 @@
         }
 
     async def _stop(self):
-        end_at_s = self._state.stop.ends_at_s
-        accepting_s = self._state.bounds.stop_s - STOP_ACCEPTING_BEFORE_END_S
-        await asyncio.sleep(max(0.0, accepting_s))
-        self._listener.close()
+        stop = self._state.stop
+        await asyncio.sleep(max(0.0, stop.drains_at_s - monotonic_s()))
         log.info("New connections are no longer accepted.", **self._work_fields())
-        self._caller_server.close_idle()
-        while self._caller_server.active_count and monotonic_s() < end_at_s:
-            await asyncio.sleep(STOP_POLL_INTERVAL_S)
-            self._caller_server.close_idle()
-        await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        await drain_connections(stop, self._caller_server, self._listener, monotonic_s)
         self._logs.drain()
         self._stopped.set()
 
--- a/src/chervilpitch/policy/stopping.py
+++ b/src/chervilpitch/policy/stopping.py
@@ -1,4 +1,4 @@
-"""Which requests an instance still accepts during a planned stop.
+"""Phases of a planned stop, and which requests an instance still accepts in them.
 
 Callers learn of a stop within a few seconds and go elsewhere. A request that arrives
 later and may last beyond the end of the stop, because its upstream hangs, would be cut.
@@ -8,6 +8,8 @@
 __all__ = ["PlannedStop"]
 
 ACCEPT_ALL_S = 2.5
+DRAIN_S = 2.6
+"""Time for requests in progress to end once no more connections are accepted."""
 END_MARGIN_S = 0.25
 
 
@@ -33,9 +35,15 @@
     """
 
     def __init__(self, begun_at_s: float, duration_s: float):
+        self._drains_at_s = begun_at_s + max(0.0, duration_s - DRAIN_S)
         self._ends_at_s = begun_at_s + duration_s - END_MARGIN_S
         self._accepts_all_until_s = begun_at_s + ACCEPT_ALL_S
 
+    @property
+    def drains_at_s(self) -> float:
+        """Monotonic time in seconds from which no connection is accepted."""
+        return self._drains_at_s
+
     @property
     def ends_at_s(self) -> float:
         """Monotonic time in seconds at which requests in progress are cut."""
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -89,6 +89,7 @@
         )
         self.targets = []
         self.port = 0
+        self.listener = None
         self.revision = 10
 
     async def start(self, *targets: FakeTarget, **fields):
@@ -99,10 +100,10 @@
         self.apply_configuration(**fields)
         self.apply_entries()
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
+        self.listener = await loop.create_server(
             lambda: ServerConnection(self.http_server), "127.0.0.1", 0
         )
-        self.port = server.sockets[0].getsockname()[1]
+        self.port = self.listener.sockets[0].getsockname()[1]
 
     def apply_configuration(self, age_s=0.0, **fields):
         """Apply a configuration whose proof has the given age."""
--- a/tests/gateway/test_server_connection.py
+++ b/tests/gateway/test_server_connection.py
@@ -110,14 +110,16 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
         await asyncio.sleep(0.05)
         harness.http_server.close_after_responses()
-        harness.http_server.close_idle()
-        assert harness.http_server.active_count == 1
+        for _ in range(3):
+            harness.http_server.close_idle()
+        assert harness.http_server.open_count == 1
         writer.write(encode_request("/book/x", "POST", b"{}"))
         status, headers, _ = await read_response(reader)
         assert (status, headers["connection"]) == (200, "close")
         assert await reader.read() == b""
-        assert harness.http_server.active_count == 0
         writer.close()
+        await asyncio.sleep(0.05)
+        assert harness.http_server.open_count == 0
 
     run_scenario(scenario)
 
@@ -156,10 +158,10 @@
         writer.write(b"nonsense\r\n\r\n")
         await read_response(reader)
         assert await reader.read() == b""
-        assert harness.http_server.active_count == 0
         await asyncio.sleep(server_connection.LINGER_S)
         harness.http_server.close_timed_out()
         await asyncio.sleep(0.05)
+        assert harness.http_server.open_count == 0
         writer.write(b"more")
         await asyncio.sleep(0.05)
         with pytest.raises(ConnectionError):
