Test that a stop doesn't cut a large response to a caller that reads late

The same cause, the number of requests in progress: a request whose response is written but not yet read by the caller was none in progress, and the process ended 0.1 s later.

--- a/standins/target.py
+++ b/standins/target.py
@@ -62,6 +62,8 @@
 
     Attributes
     ----------
+    response_body : bytes
+        Body of each response; by default its name.
     runs : list of tuple
         Method, target, headers and body of each request that was run.
     cancelled : int
@@ -70,6 +72,7 @@
 
     def __init__(self, name, behaviour=Behaviour.CORRECT, service_time_s=0.0):
         self.name = name
+        self.response_body = name.encode() if name else b""
         self.behaviour = behaviour
         self.service_time_s = service_time_s
         self.runs = []
@@ -147,7 +150,7 @@
         await asyncio.sleep(60 if is_hanging else self.service_time_s)
 
     async def _respond(self, writer, headers) -> bool:
-        body = self.name.encode()
+        body = self.response_body
         seal = {"X-Chervilpitch-Response-Seal": "s." + self.name}
         behaviour = self.behaviour
         if behaviour in _ENDLESS:
--- a/tests/whole/test_gateway_stop.py
+++ b/tests/whole/test_gateway_stop.py
@@ -8,7 +8,13 @@
 
 from standins.gateway_fleet import CALLERS_PORT, GatewayFleet
 from standins.target import FakeTarget
-from tests.gateway.harness import configuration, encode_request, read_response
+from tests.gateway.harness import (
+    HOST,
+    configuration,
+    encode_request,
+    read_response,
+    route,
+)
 
 SCENARIO_TIMEOUT_S = 60
 STOP_S = 3.0
@@ -16,6 +22,9 @@
 SERVICE_TIME_S = 0.3
 
 
+LARGE_RESPONSE_BYTES = 12_000_000
+
+
 class KeptConnection:
     """A connection to an instance that stays open between requests."""
 
@@ -23,12 +32,15 @@
         self._reader = reader
         self._writer = writer
 
-    async def send(self, request_id, path="/book/x", **options):
+    async def send(self, request_id, reads_after_s=0.0, **options):
         """Send a request; return its status, None if the connection ends instead."""
         try:
             self._writer.write(
-                encode_request(path, "POST", b"{}", request_id=request_id, **options)
+                encode_request(
+                    "/book/x", "POST", b"{}", request_id=request_id, **options
+                )
             )
+            await asyncio.sleep(reads_after_s)
             return (await read_response(self._reader))[0]
         except (ConnectionError, asyncio.IncompleteReadError):
             return None
@@ -54,10 +66,12 @@
     asyncio.run(limited())
 
 
-async def start_instance(fleet, number, target):
+async def start_instance(fleet, number, target, book_timeout="1500ms"):
     """Start an upstream and an instance that serves."""
     await fleet.add_target(target)
-    fleet.store.put("op/config", configuration())
+    routes = [route("book", "unsafe", timeout=book_timeout)]
+    hosts = [{"host": HOST, "path_routes": routes}]
+    fleet.store.put("op/config", configuration(virtual_hosts=hosts))
     instance = await fleet.start_instance(number)
     await fleet.wait_ready(instance)
     return instance
@@ -84,3 +98,20 @@
             assert await instance.process.wait() == 0
 
     run_scenario(scenario)
+
+
+def test_response_to_a_caller_that_reads_late_is_not_cut_by_a_stop(tmp_path):
+    async def scenario():
+        async with GatewayFleet(tmp_path, f"grace={STOP_S}s,revoke=5000ms") as fleet:
+            target = FakeTarget("t1")
+            target.response_body = b"x" * LARGE_RESPONSE_BYTES
+            instance = await start_instance(fleet, 1, target)
+            async with kept_connection(instance) as connection:
+                call = asyncio.create_task(connection.send("large", reads_after_s=1.5))
+                while not target.runs:
+                    await asyncio.sleep(0.01)
+                instance.process.send_signal(signal.SIGTERM)
+                assert await call == 200
+            assert await instance.process.wait() == 0
+
+    run_scenario(scenario)
