Answer requests that are in progress at the end of a stop instead of cutting them

Cause: the process ended under them; nothing told the forwarder. Refusals late in a stop have a reason of their own, instance-stopping. Ruled out: shorter deadlines for requests accepted before the stop: an upstream that answers in time would be cut sooner for nothing. Both tests failed before (connection closed without an answer) and pass now; tests of the gateway and of its stop: 154 passed.

--- a/src/chervilpitch/gateway/forward.py
+++ b/src/chervilpitch/gateway/forward.py
@@ -51,7 +51,8 @@
 class _Progress:
     """State of the attempts to serve one request."""
 
-    def __init__(self) -> None:
+    def __init__(self, ended: asyncio.Future) -> None:
+        self.ended = ended
         self.running: dict[asyncio.Task, Choice] = {}
         self.tried_upstreams: list[str] = []
         self.sent_count = 0
@@ -76,14 +77,23 @@
         self._state = state
         self._runner = AttemptRunner(state, pool, clock)
         self._clock = clock
+        self._ended: set[asyncio.Future] = set()
+
+    def end_requests(self) -> None:
+        """Respond to all requests in progress now, as the instance is stopping."""
+        for ended in self._ended:
+            ended.set_result(None)
+        self._ended.clear()
 
     async def forward(self, outgoing: OutgoingRequest) -> ForwardResult:
         """Return the response to deliver, or why there is none."""
         self._state.retry_budget(outgoing.service).count_request(self._clock())
-        progress = _Progress()
+        progress = _Progress(asyncio.get_running_loop().create_future())
+        self._ended.add(progress.ended)
         try:
             return await self._run_attempts(outgoing, progress)
         finally:
+            self._ended.discard(progress.ended)
             for task in progress.running:
                 task.cancel()
 
@@ -92,16 +102,18 @@
         while refusal is None:
             remaining_s = outgoing.deadline_at_s - self._clock()
             if remaining_s <= 0:
-                return self._deadline_result(progress)
+                return self._unfinished_result(progress, RefusalKind.DEADLINE_EXCEEDED)
+            if progress.ended.done():
+                return self._unfinished_result(progress, RefusalKind.INSTANCE_STOPPING)
             timeout_s = remaining_s
             if self._may_hedge(outgoing, progress):
                 timeout_s = min(remaining_s, self._hedge_check_s(outgoing))
             done, _ = await asyncio.wait(
-                progress.running,
+                (*progress.running, progress.ended),
                 timeout=timeout_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            for task in done:
+            for task in done - {progress.ended}:
                 choice = progress.running.pop(task)
                 final_result = self._handle_result(
                     outgoing, progress, choice, task.result()
@@ -240,12 +252,12 @@
             age_ms=_milliseconds(now_s - outgoing.request.arrived_at_s),
         )
 
-    def _deadline_result(self, progress) -> ForwardResult:
+    def _unfinished_result(self, progress, kind: RefusalKind) -> ForwardResult:
         tried = tuple(progress.tried_upstreams)
         has_run = bool(progress.running) or progress.may_have_run
         if progress.fallback is not None:
             return ForwardResult(progress.fallback, None, True, tried)
-        return ForwardResult(None, RefusalKind.DEADLINE_EXCEEDED, has_run, tried)
+        return ForwardResult(None, kind, has_run, tried)
 
     def _failure_result(self, progress, refusal) -> ForwardResult:
         tried = tuple(progress.tried_upstreams)
--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -122,6 +122,11 @@
         for connection in tuple(self._open):
             connection.close_if_idle(now_s)
 
+    def refuse_incomplete(self) -> None:
+        """Refuse each request whose body is not complete; it has not run."""
+        for connection in tuple(self._open):
+            connection.refuse_if_incomplete()
+
     def close_timed_out(self) -> None:
         """Close connections whose timeout has passed."""
         now_s = self._clock()
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -58,6 +58,8 @@
 MAINTENANCE_INTERVAL_S = 0.5
 LOG_DRAIN_INTERVAL_S = 0.4
 STATUS_INTERVAL_S = 10.0
+LAST_RESPONSES_S = 0.1
+"""Time to write the last responses before the platform kills the process."""
 GC_THRESHOLDS = (20_000, 20, 50)
 """Allocations and collections between garbage collections, as few cycles arise."""
 
@@ -99,8 +101,8 @@
             settings.store.address, self._state, self._gossip, clock
         )
         self._metrics = GatewayMetrics()
-        forwarder = Forwarder(self._state, self._pool, clock)
-        request_path = RequestPath(self._state, forwarder, self._metrics, clock)
+        self._forwarder = Forwarder(self._state, self._pool, clock)
+        request_path = RequestPath(self._state, self._forwarder, self._metrics, clock)
         self._caller_server = HttpServer(
             request_path.serve,
             lambda: self._state.configuration.limits,
@@ -262,9 +264,17 @@
         await asyncio.sleep(max(0.0, stop.drains_at_s - monotonic_s()))
         log.info("New connections are no longer accepted.", **self._work_fields())
         await drain_connections(stop, self._caller_server, self._listener, monotonic_s)
+        if self._caller_server.open_count:
+            await self._end_requests()
         self._logs.drain()
         self._stopped.set()
 
+    async def _end_requests(self):
+        """Respond to what is still in progress rather than cut it."""
+        self._forwarder.end_requests()
+        self._caller_server.refuse_incomplete()
+        await asyncio.sleep(LAST_RESPONSES_S)
+
     def _reload(self):
         loaded = self._settings_file.load()
         if loaded.is_err():
--- a/src/chervilpitch/gateway/request_path.py
+++ b/src/chervilpitch/gateway/request_path.py
@@ -142,9 +142,8 @@
         stop = self._state.stop
         deadline_at_s = _deadline_at_s(request, route, caller_timeout_s)
         if stop is not None and not stop.may_accept(deadline_at_s, self._clock()):
-            return Err(
-                _Refusal(RefusalKind.NOT_READY, STOPPING_RETRY_AFTER_S, route.name)
-            )
+            kind = RefusalKind.INSTANCE_STOPPING
+            return Err(_Refusal(kind, STOPPING_RETRY_AFTER_S, route.name))
         if not route.needs_key:
             return Ok(_Admitted(route, ""))
         return self._authenticate(metadata.key).and_then(
--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -104,6 +104,11 @@
             self.close()
         self._is_found_idle = True
 
+    def refuse_if_incomplete(self) -> None:
+        """Respond with a 503 if the body of a request is incomplete, and close."""
+        if self._head is not None and self._task is None:
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+
     def close(self) -> None:
         """Close after the buffered bytes are written."""
         if self._transport is not None:
@@ -260,7 +265,7 @@
         if self._transport.is_closing():
             return
         log.info(
-            "Request rejected: invalid, too large, timed out or body buffer full.",
+            "Request rejected: invalid, too large, incomplete or body buffer full.",
             status=int(status),
         )
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- a/src/chervilpitch/model/refusals.py
+++ b/src/chervilpitch/model/refusals.py
@@ -25,6 +25,7 @@
     KEY_UNKNOWN = "key-unknown"
     KEYS_NOT_FRESH = "keys-not-fresh"
     NOT_READY = "not-ready"
+    INSTANCE_STOPPING = "instance-stopping"
     ROUTE_UNKNOWN = "route-unknown"
     ACCOUNT_NOT_ADMITTED = "account-not-admitted"
     RATE_EXCEEDED = "rate-exceeded"
--- a/tests/whole/test_gateway_stop.py
+++ b/tests/whole/test_gateway_stop.py
@@ -23,6 +23,7 @@
 
 
 LARGE_RESPONSE_BYTES = 12_000_000
+LONG_WAIT_MS = 20_000
 
 
 class KeptConnection:
@@ -115,3 +116,40 @@
             assert await instance.process.wait() == 0
 
     run_scenario(scenario)
+
+
+def test_request_that_lasts_beyond_the_end_of_a_stop_is_answered(tmp_path):
+    async def scenario():
+        async with GatewayFleet(tmp_path, f"grace={STOP_S}s,revoke=5000ms") as fleet:
+            target = FakeTarget("t1")
+            instance = await start_instance(fleet, 1, target, book_timeout="20s")
+            target.service_time_s = LONG_WAIT_MS / 1000
+            async with kept_connection(instance) as connection:
+                call = asyncio.create_task(
+                    connection.send("long", wait_ms=LONG_WAIT_MS)
+                )
+                while not target.runs:
+                    await asyncio.sleep(0.01)
+                instance.process.send_signal(signal.SIGTERM)
+                assert await call == 502
+            assert await instance.process.wait() == 0
+            assert len(target.runs) == 1
+
+    run_scenario(scenario)
+
+
+def test_request_whose_body_is_incomplete_at_the_end_of_a_stop_is_refused(tmp_path):
+    async def scenario():
+        async with GatewayFleet(tmp_path, f"grace={STOP_S}s,revoke=5000ms") as fleet:
+            target = FakeTarget("t1")
+            instance = await start_instance(fleet, 1, target)
+            reader, writer = await asyncio.open_connection(instance.host, CALLERS_PORT)
+            writer.write(encode_request("/book/x", "POST", b"{}")[:-1])
+            await asyncio.sleep(0.1)
+            instance.process.send_signal(signal.SIGTERM)
+            status, _, _ = await read_response(reader)
+            assert (status, target.runs) == (503, [])
+            writer.close()
+            assert await instance.process.wait() == 0
+
+    run_scenario(scenario)
