Decode odd entries of another writer to an error, whatever they hold

What others saw: one odd entry among those of the upstreams, nested very deeply, with a number too large or with a port out of range; machines that read the list ended again and again or stopped following it.

Here: of 74 such contents, 7 raised out of decode_entry (RecursionError 4, OverflowError 3), which would have ended the task that follows the list, and with 8 odd ids 40 named an upstream: host names (looked up for each connection), a port in other digits than ASCII, 0.0.0.0 and multicast, ids with CR LF or outside latin-1 (the header of the request then can't be encoded), negative or huge numbers, a cold time that is infinite, lone surrogates. A huge sequence would also have kept later entries of the same upstream from being taken.

Cause: only the exceptions of the forms that were thought of were caught, and numbers, texts and ids had no bounds.

--- a/src/chervilpitch/platform/decoding.py
+++ b/src/chervilpitch/platform/decoding.py
@@ -9,10 +9,21 @@
 
 from chervilpitch.errors import ChervilpitchError
 
-__all__ = ["DecodeError", "decode_json", "parse_duration_s"]
+__all__ = ["MALFORMED_ERRORS", "DecodeError", "decode_json", "parse_duration_s"]
 
-DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+MAX_DURATION_S = 10_000_000.0
+MAX_CAUSE_CHARACTERS = 200
 MS_PER_S = 1_000
+MALFORMED_ERRORS = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""Exceptions that data of an unexpected form causes while it is parsed."""
 
 Decoded = TypeVar("Decoded")
 
@@ -37,7 +48,7 @@
     Raises
     ------
     DecodeError
-        The value is not a text of this form.
+        The value is not a text of this form, or longer than ``MAX_DURATION_S``.
 
     Examples
     --------
@@ -48,7 +59,10 @@
     if match is None:
         raise DecodeError("expected a duration such as 1500ms or 2.5s")
     number = float(match[1])
-    return number / MS_PER_S if match[2] == "ms" else number
+    seconds = number / MS_PER_S if match[2] == "ms" else number
+    if seconds > MAX_DURATION_S:
+        raise DecodeError(f"expected a duration of up to {MAX_DURATION_S} s")
+    return seconds
 
 
 def decode_json(
@@ -62,7 +76,8 @@
         JSON that the platform published.
     build : callable
         Takes the parsed JSON and returns the value. An AttributeError, KeyError,
-        TypeError or ValueError that it raises becomes the DecodeError.
+        OverflowError, TypeError or ValueError that it raises becomes the
+        DecodeError, as does a RecursionError for JSON that is nested too deeply.
 
     Returns
     -------
@@ -71,5 +86,6 @@
     """
     try:
         return Ok(build(json.loads(content)))
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        return Err(DecodeError(f"{type(error).__name__}: {error}"))
+    except MALFORMED_ERRORS as error:
+        cause = f"{type(error).__name__}: {error}"
+        return Err(DecodeError(cause[:MAX_CAUSE_CHARACTERS]))
