Leave an unreadable item of a store's response out instead of the whole response

What others saw: after one odd entry the machines stopped following the list.

Here: an item whose key, revision or value has another form made the whole response unreadable, so that the list or watch that holds it could not be followed for as long as it lay there; a response nested 100,000 deep raised a RecursionError, a revision of 1e400 an OverflowError, and a negative revision or a key with a lone surrogate was accepted and then could not be encoded for other instances.

Change: an item whose key or revision can't be read is left out; one whose value can't be read counts as empty, so that it still replaces what its key held (and then names no upstream). A response none of whose items can be read stays unreadable, as test_failed_store_call_gives_its_reason demands. Keys and revisions have bounds.

--- a/src/chervilpitch/platform/decoding.py
+++ b/src/chervilpitch/platform/decoding.py
@@ -9,7 +9,13 @@
 
 from chervilpitch.errors import ChervilpitchError
 
-__all__ = ["MALFORMED_ERRORS", "DecodeError", "decode_json", "parse_duration_s"]
+__all__ = [
+    "MALFORMED_ERRORS",
+    "DecodeError",
+    "decode_json",
+    "parse_duration_s",
+    "whole_number",
+]
 
 DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 MAX_DURATION_S = 10_000_000.0
@@ -65,6 +71,33 @@
     return seconds
 
 
+def whole_number(value: object, maximum: int) -> int:
+    """Return a whole number, which JSON may also hold as a float such as ``2.0``.
+
+    Parameters
+    ----------
+    value : object
+        A parsed value.
+    maximum : int
+        Largest number accepted; the smallest one is 0.
+
+    Raises
+    ------
+    DecodeError
+        The value is something else.
+
+    Examples
+    --------
+    >>> whole_number(2.0, 9)
+    2
+    """
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise DecodeError("expected a whole number")
+    if not 0 <= value <= maximum or value != int(value):
+        raise DecodeError(f"expected a whole number from 0 to {maximum}")
+    return int(value)
+
+
 def decode_json(
     content: bytes, build: Callable[[Any], Decoded]
 ) -> Result[Decoded, DecodeError]:
--- a/src/chervilpitch/platform/entries.py
+++ b/src/chervilpitch/platform/entries.py
@@ -8,7 +8,7 @@
 
 from chervilpitch.model import UpstreamEntry
 
-from .decoding import DecodeError, decode_json, parse_duration_s
+from .decoding import DecodeError, decode_json, parse_duration_s, whole_number
 
 __all__ = ["CONFIGURATION_KEY", "ENTRY_PREFIX", "decode_entry"]
 
@@ -55,11 +55,11 @@
         service=_text(body["service"]),
         address=_address(body["address"]),
         failure_domain=_text(body["zone"]),
-        slots=max(1, _whole_number(body["capacity"], MAX_SLOTS)),
+        slots=max(1, whole_number(body["capacity"], MAX_SLOTS)),
         is_draining=DRAINING_BY_STATE[body["state"]],
         cold_for_s=_cold_for_s(body.get("cold_remaining", "0ms")),
-        born_ms=_whole_number(body.get("born", 0), MAX_BORN_MS),
-        sequence=_whole_number(body["sequence"], MAX_SEQUENCE),
+        born_ms=whole_number(body.get("born", 0), MAX_BORN_MS),
+        sequence=whole_number(body["sequence"], MAX_SEQUENCE),
     )
 
 
@@ -78,14 +78,6 @@
     return value
 
 
-def _whole_number(value: object, maximum: int) -> int:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise DecodeError("expected a whole number")
-    if not 0 <= value <= maximum or value != int(value):
-        raise DecodeError(f"expected a whole number from 0 to {maximum}")
-    return int(value)
-
-
 def _cold_for_s(value: object) -> float:
     seconds = parse_duration_s(value)
     if seconds > MAX_COLD_S:
--- a/src/chervilpitch/platform/store.py
+++ b/src/chervilpitch/platform/store.py
@@ -10,6 +10,8 @@
 
 from chervilpitch.model import StoreItem
 
+from .decoding import MALFORMED_ERRORS, DecodeError, whole_number
+
 __all__ = [
     "StoreResponse",
     "StoreProblem",
@@ -27,6 +29,8 @@
 OK_STATUS = 200
 NOT_FOUND_STATUS = 404
 GONE_STATUS = 410
+MAX_KEY_BYTES = 200
+MAX_REVISION = 2**63 - 1
 
 
 class StoreProblem(StrEnum):
@@ -110,19 +114,48 @@
 
 
 def _parse(status, body, items_of):
+    """Parse a response; unreadable items are left out unless all of them are."""
     if status != OK_STATUS:
         return Err(StoreProblem.REFUSED)
     try:
         fields = json.loads(body)
-        items = tuple(_item(item) for item in items_of(fields))
-        revision = int(fields["current_rev"])
-        return Ok(StoreResponse(items, revision, bool(fields.get("has_more"))))
-    except (KeyError, TypeError, ValueError, AttributeError):
+        sent = _list(items_of(fields))
+        items = tuple(item for item in map(_item, sent) if item is not None)
+        revision = whole_number(fields["current_rev"], MAX_REVISION)
+        has_more = bool(fields.get("has_more"))
+    except MALFORMED_ERRORS:
+        return Err(StoreProblem.UNREADABLE)
+    if sent and not items:
         return Err(StoreProblem.UNREADABLE)
+    return Ok(StoreResponse(items, revision, has_more))
+
+
+def _list(value) -> list:
+    if not isinstance(value, list):
+        raise DecodeError("expected a list")
+    return value
+
 
+def _item(fields) -> StoreItem | None:
+    """Return an item, or None if its key or revision can't be read."""
+    try:
+        key = _key(fields["key"])
+        revision = whole_number(fields["revision"], MAX_REVISION)
+        is_removed = bool(fields.get("is_removed"))
+    except MALFORMED_ERRORS:
+        return None
+    return StoreItem(key, b"" if is_removed else _value(fields), revision, is_removed)
+
+
+def _key(value) -> str:
+    if len(value.encode()) > MAX_KEY_BYTES:
+        raise DecodeError(f"expected a key of up to {MAX_KEY_BYTES} bytes")
+    return value
 
-def _item(fields) -> StoreItem:
-    if fields.get("is_removed"):
-        return StoreItem(fields["key"], b"", int(fields["revision"]), True)
-    value = base64.b64decode(fields["value"], validate=True)
-    return StoreItem(fields["key"], value, int(fields["revision"]))
+
+def _value(fields) -> bytes:
+    """Return the value of an item, empty if it can't be read."""
+    try:
+        return base64.b64decode(fields["value"], validate=True)
+    except MALFORMED_ERRORS:
+        return b""
