Drop the content of malformed entries so that the list still fits a datagram

What others saw: machines stopped following the list after one odd entry.

Here: an entry that could not be decoded stayed in the replica with its content and was passed on. The store accepts values of 1 MiB; one of random bytes made the state exceed the 60,000 bytes of a datagram, so that every instance which does not read the store itself was answered "State does not fit in a datagram; replying without it." and lost the list. Also, an exception of a form not foreseen in one entry left the entries after it undecoded, although the replica took them for known.

Ruled out: other instances need the content of a malformed entry; the digest that they compare covers keys and revisions only.

Change: DecodedEntries decodes the changed entries of the replica and drops the content of malformed ones; an unforeseen exception is logged with its traceback, counted and costs one entry.

--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -9,7 +9,6 @@
     Configuration,
     HostRoute,
     StoreItem,
-    UpstreamEntry,
 )
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
@@ -29,6 +28,8 @@
     UsageCounters,
 )
 
+from .decoded_entries import DecodedEntries
+
 __all__ = ["GatewayState"]
 
 log = part_logger("state")
@@ -68,7 +69,7 @@
         self._routes = RouteTable(())
         self._configuration_item: StoreItem | None = None
         self._entry_items = ItemReplica()
-        self._decoded_entries: dict[str, UpstreamEntry] = {}
+        self._decoded_entries = DecodedEntries(self._entry_items)
         self._listing = UpstreamListing()
         limits = FreshnessLimits.from_bounds(
             bounds.revocation_s, bounds.configuration_s
@@ -135,6 +136,11 @@
         """Replica of the upstreams' entries in the store."""
         return self._entry_items
 
+    @property
+    def malformed_entry_count(self) -> int:
+        """Number of upstreams' entries that could not be decoded so far."""
+        return self._decoded_entries.malformed_count
+
     @property
     def buckets(self) -> dict[str, FleetBucket]:
         """Token buckets of client accounts, by name."""
@@ -262,10 +268,8 @@
 
     def _apply_entries(self, keys):
         """Decode the entries of the keys that changed, and update the upstreams."""
-        items = {item.key: item for item in self._entry_items.items}
-        for key in keys:
-            self._decode_entry(key, items.get(key))
-        entries = self._decoded_entries.values()
+        self._decoded_entries.update(keys)
+        entries = self._decoded_entries.entries
         now_s = self._clock()
         missing_until_s = self._freshness.gap_ended_at_s + MISSING_ENTRY_GRACE_S
         listed = self._listing.update(entries, now_s, missing_until_s)
@@ -274,20 +278,6 @@
         if keys:
             log.info("Upstreams changed.", changed=len(keys), listed=len(listed))
 
-    def _decode_entry(self, key, item):
-        self._decoded_entries.pop(key, None)
-        if item is None:
-            return
-        decoded = platform.decode_entry(key, item.value)
-        if decoded.is_ok():
-            self._decoded_entries[key] = decoded.unwrap()
-        else:
-            log.warning(
-                "Upstream entry could not be decoded; ignored it.",
-                entry=key,
-                cause=str(decoded.unwrap_err()),
-            )
-
     def latency_baseline(self, route: HostRoute) -> LatencyBaseline:
         """Return the baseline of a route's response times."""
         if route.name not in self._baselines:
--- a/src/chervilpitch/policy/replica.py
+++ b/src/chervilpitch/policy/replica.py
@@ -72,6 +72,10 @@
         self._complete_since = max(self._complete_since, self._revision)
         return self.apply((*listed, *missing), revision)
 
+    def drop_content(self, key: str) -> None:
+        """Keep the key and the revision of an item, but not its content."""
+        self._items[key] = self._items[key]._replace(value=b"")
+
     def changes_since(self, revision: int) -> tuple[StoreItem, ...] | None:
         """Return the items that changed after a revision, including removed ones.
 
