Keep and pass on the configuration in force when a newer one is malformed

A malformed item also replaced the one in force as the item that is passed on, so that a newly started instance got no configuration and never became ready.

Ruled out: undecodable bytes, JSON nested too deeply and numbers too large; those leave the configuration in force since they decode to an error.

--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -122,7 +122,7 @@
 
     @property
     def configuration_item(self) -> StoreItem | None:
-        """The newest configuration as stored; None before the first one."""
+        """The newest readable configuration as stored; None before the first one."""
         return self._configuration_item
 
     @property
@@ -214,7 +214,6 @@
         for item in items:
             is_configuration = item.key == platform.CONFIGURATION_KEY
             if is_configuration and item.revision > self.configuration_revision:
-                self._configuration_item = item
                 self._apply_configuration(item)
 
     def apply_entry_items(
@@ -251,6 +250,8 @@
             )
             return
         configuration = decoded.unwrap()
+        routes = RouteTable(configuration.routes)
+        self._configuration_item = item
         if configuration.version <= self._configuration.version:
             return
         log.info(
@@ -262,7 +263,7 @@
         )
         self._accounts = self._configuration.accounts
         self._configuration = configuration
-        self._routes = RouteTable(configuration.routes)
+        self._routes = routes
         for account in configuration.accounts.values():
             self._update_bucket(account)
 
