Let an unforeseen exception not end the tasks that follow the store

Here: any exception other than those of a failed call ended watch_entries or watch_configuration for good; the process went on without them.

Change: such an exception is logged with its traceback, counted (metric store_defects), and the store is read anew after 2 s, as the state may have been applied in part. The task's cancellation is not caught.

Measured: both new tests failed before (the task had ended); they pass after.

--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -230,6 +230,7 @@
                 "peer_datagrams_received": self._gossip.socket.received_count,
                 "peer_datagrams_malformed": self._gossip.socket.malformed_count,
                 "entries_malformed": self._state.malformed_entry_count,
+                "store_defects": self._reader.defect_count,
                 "store_calls": self._reader.call_count,
                 "upstream_connections_opened": self._pool.opened_count,
                 "log_lines_dropped": self._logs.dropped,
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -19,6 +19,7 @@
 ENTRIES_WATCH_MS = 1_500
 ENTRIES_WATCH_PAUSE_S = 0.5
 RETRY_DELAY_S = 0.3
+DEFECT_RETRY_DELAY_S = 2.0
 DISCOVERY_S = 0.25
 FIRST_ANSWER_TIMEOUT_S = 0.5
 START_POLL_INTERVAL_S = 0.03
@@ -97,6 +98,12 @@
         self._clock = clock
         self._is_reachable = True
         self._calls = 0
+        self._defects = 0
+
+    @property
+    def defect_count(self) -> int:
+        """Number of responses whose handling raised an unforeseen exception."""
+        return self._defects
 
     @property
     def call_count(self) -> int:
@@ -164,6 +171,12 @@
                 connection.close()
                 self._mark_unreachable(error)
                 await asyncio.sleep(RETRY_DELAY_S)
+            except Exception:
+                connection.close()
+                revision = 0
+                self._defects += 1
+                log.exception("Handling of a store response failed; reading it anew.")
+                await asyncio.sleep(DEFECT_RETRY_DELAY_S)
 
     async def _read_configuration(self, connection, revision) -> int:
         state = self._state
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -12,11 +12,11 @@
 from chervilpitch.gateway.messages import StateAnswer
 from chervilpitch.gateway.peers import MAX_DATAGRAM_BYTES
 from chervilpitch.model import StoreItem
-from chervilpitch.platform import ENTRY_PREFIX
+from chervilpitch.platform import CONFIGURATION_KEY, ENTRY_PREFIX
 from tests.platform.odd_entries import GOOD_ENTRY, KEYS, ODD_CONTENTS, contents
 from tests.platform.odd_entries import encode as encode_entry
 
-from .harness import SERVICE, new_state
+from .harness import SERVICE, configuration, new_state
 from .test_gossip import entry_item, reader_and_requester, request_state
 from .test_store_reader import StoreReaderHarness
 
@@ -120,14 +120,20 @@
             await asyncio.sleep(0.02)
 
 
+async def start_reading():
+    """Return a harness whose instance has become a reader of the store."""
+    harness = StoreReaderHarness()
+    await harness.start()
+    await harness.reader.read_at_start()
+    await wait_until(
+        lambda: harness.gossip.is_reading, harness.gossip.update_reader_role
+    )
+    return harness
+
+
 def test_good_change_after_each_odd_entry_is_followed():
     async def scenario():
-        harness = StoreReaderHarness()
-        await harness.start()
-        await harness.reader.read_at_start()
-        await wait_until(
-            lambda: harness.gossip.is_reading, harness.gossip.update_reader_role
-        )
+        harness = await start_reading()
         task = asyncio.create_task(harness.reader.watch_entries())
         for number, content in enumerate((LARGE_CONTENT, *ODD_CONTENTS[::8])):
             harness.store.put(f"{ODD_KEY}-{number}", content)
@@ -141,3 +147,40 @@
         task.cancel()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("watch", "apply"),
+    [
+        ("watch_entries", "apply_entry_items"),
+        ("watch_configuration", "apply_configuration_items"),
+    ],
+)
+def test_unforeseen_exception_does_not_end_the_task_that_follows_the_store(
+    watch, apply, monkeypatch
+):
+    async def scenario():
+        harness = await start_reading()
+        apply_items = getattr(harness.state, apply)
+        defects = [LookupError("not foreseen")]
+
+        def fail_once(*arguments):
+            if defects:
+                raise defects.pop()
+            apply_items(*arguments)
+
+        monkeypatch.setattr(harness.state, apply, fail_once)
+        task = asyncio.create_task(getattr(harness.reader, watch)())
+        await wait_until(lambda: not defects)
+        harness.store.put(ENTRY_PREFIX + "late", GOOD_ENTRY)
+        harness.store.put(CONFIGURATION_KEY, configuration(2))
+        await wait_until(
+            lambda: task.done()
+            or harness.state.upstreams.get("late")
+            or harness.state.configuration.version == 2
+        )
+        assert not task.done()
+        assert harness.reader.defect_count == 1
+        task.cancel()
+
+    asyncio.run(scenario())
