Ignore a load that an upstream states with numbers out of range

Found while checking the report of numbers too large in entries: callers of a service got no response from instances that an upstream had told a load of 400 digits. Cause: the choice of an upstream divides the load by the slots, which raised "OverflowError: integer division result too large for a float" for each request of the service while the load counted; with more than 4,300 digits the parsing raised a ValueError out of the attempt.

Change: loads above a million count as not stated.

--- a/src/chervilpitch/platform/upstreams.py
+++ b/src/chervilpitch/platform/upstreams.py
@@ -45,6 +45,9 @@
 )
 NOT_FORWARDED = HOP_BY_HOP | SET_BY_INSTANCES
 MISDIRECTED_STATUS = 421
+MAX_LOAD = 1_000_000
+"""Largest number of requests or slots that an upstream may state."""
+MAX_LOAD_DIGITS = 7
 MS_PER_S = 1_000
 
 
@@ -132,13 +135,18 @@
 
 
 def _parse_load(value: bytes) -> tuple[int, int, int] | None:
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in value.split(b",")]
+    if len(parts) != 3 or not all(_is_load(part) for part in parts):
         return None
     running, waiting, slots = (int(part) for part in parts)
     return running, waiting, slots
 
 
+def _is_load(part: bytes) -> bool:
+    is_number = part.isdigit() and len(part) <= MAX_LOAD_DIGITS
+    return is_number and int(part) <= MAX_LOAD
+
+
 def _parse_idle_for_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/standins/target.py
+++ b/standins/target.py
@@ -27,6 +27,7 @@
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed-reset"
     STALE_REFUSAL = "stale-refusal"
+    HUGE_LOAD = "huge-load"
     ENDLESS_HEAD = "endless-head"
     ENDLESS_BODY = "endless-body"
     ENDLESS_CHUNK_EXTENSION = "endless-chunk-extension"
@@ -169,6 +170,8 @@
         if behaviour is Behaviour.UNSEALED:
             writer.write(self._encode_response(headers, 200, body, {}))
             return True
+        if behaviour is Behaviour.HUGE_LOAD:
+            seal |= {"X-Chervilpitch-Server-Load": "9" * 400 + ",0,8"}
         if behaviour is Behaviour.ENCODED:
             encoded = seal | {"Content-Encoding": "gzip"}
             writer.write(self._encode_response(headers, 200, body, encoded))
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -303,6 +303,16 @@
     run_scenario(scenario)
 
 
+def test_upstream_that_states_a_huge_load_does_not_end_requests():
+    async def scenario():
+        harness = GatewayHarness()
+        await harness.start(FakeTarget("t1", Behaviour.HUGE_LOAD))
+        for _ in range(3):
+            assert (await harness.send_request("/read/x"))[0] == 200
+
+    run_scenario(scenario)
+
+
 ENDLESS_BEHAVIOURS = [item for item in Behaviour if item.startswith("endless")]
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -189,3 +189,12 @@
     assert metadata.idle_for_s == 5.0
     other = [(b"x-chervilpitch-server-load", b"3,x,8")]
     assert platform.parse_response_metadata(200, other).load is None
+
+
+@pytest.mark.parametrize("digits", [7, 20, 400, 5_000])
+@pytest.mark.parametrize("position", range(3))
+def test_load_that_is_too_large_counts_as_not_stated(digits, position):
+    numbers = [b"3", b"0", b"8"]
+    numbers[position] = b"9" * digits
+    headers = [(b"x-chervilpitch-server-load", b",".join(numbers))]
+    assert platform.parse_response_metadata(200, headers).load is None
