Show that the gateway takes no response that is cut at any byte for a whole one

Report of another operator: a target stopped in the middle of its response's head and closed; clients got a 200 with an empty or short body, framed as whole.

This can't happen in the gateway: its HTTP client (h11) wants the empty line after the head, the whole length, the last chunk and the end of the trailers, and raises otherwise. The tests cut a response after each of its bytes, with a close and with a reset, on a new and on a reused connection, for GET and HEAD, framed by a length, in chunks (also with a size that begins with 0), with a trailer, until the close, after a 103, as 204 and as 304, with the seal before and after the length. An unsafe request runs once and gets 502; a safe one is served by another upstream.

Not told apart, as HTTP does not: a body without length or chunks that is cut with an orderly close after the head.

--- a/standins/target.py
+++ b/standins/target.py
@@ -8,9 +8,15 @@
 
 import h11
 
+from .cut_response import CUT_HEADER, Framing, build_response, parse_cut
+
 __all__ = ["Behaviour", "FakeTarget"]
 
 
+DELAY_BEFORE_RESET_S = 0.01
+"""Time in which the receiver reads what was sent, as a reset discards the rest."""
+
+
 class Behaviour(StrEnum):
     """How the upstream treats requests that are addressed to it."""
 
@@ -28,6 +34,8 @@
     UNFRAMED_RESET = "unframed-reset"
     STALE_REFUSAL = "stale-refusal"
     HUGE_LOAD = "huge-load"
+    CUT = "cut"
+    """Ends the response where the request's header ``x-cut`` says, if it has one."""
     ENDLESS_HEAD = "endless-head"
     ENDLESS_BODY = "endless-body"
     ENDLESS_CHUNK_EXTENSION = "endless-chunk-extension"
@@ -129,9 +137,9 @@
             writer.write(self._encode_response(headers, 503, b"", fields))
             return True
         self.runs.append((method, target, headers, body))
-        return await self._run(reader, writer, headers)
+        return await self._run(reader, writer, method.decode(), headers)
 
-    async def _run(self, reader, writer, headers) -> bool:
+    async def _run(self, reader, writer, method, headers) -> bool:
         work = asyncio.create_task(self._work())
         disconnect = asyncio.create_task(reader.read(1))
         await asyncio.wait((work, disconnect), return_when=asyncio.FIRST_COMPLETED)
@@ -141,6 +149,8 @@
             return False
         disconnect.cancel()
         await asyncio.wait((disconnect,))
+        if self.behaviour is Behaviour.CUT and CUT_HEADER in headers:
+            return await _respond_cut(writer, method, headers)
         return await self._respond(writer, headers)
 
     async def _work(self):
@@ -227,6 +237,22 @@
         await asyncio.sleep(0)
 
 
+async def _respond_cut(writer, method, headers) -> bool:
+    """Send the start of a response; return whether the connection stays open."""
+    cut = parse_cut(headers[CUT_HEADER])
+    request_id = headers.get("x-chervilpitch-request-id", "")
+    response = build_response(cut.framing, request_id, method)
+    writer.write(response[: cut.sent_bytes])
+    await writer.drain()
+    is_whole = cut.sent_bytes >= len(response)
+    if is_whole and cut.framing is not Framing.UNTIL_CLOSE and not cut.is_reset:
+        return True
+    if cut.is_reset:
+        await asyncio.sleep(DELAY_BEFORE_RESET_S)
+        _reset(writer)
+    return False
+
+
 def _reset(writer):
     """Close a connection with a reset instead of an orderly shutdown."""
     sock = writer.get_extra_info("socket")
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -140,8 +140,10 @@
     return json.dumps(value).encode()
 
 
-def encode_request(path, method="GET", body=b"", key=KEY, wait_ms=3000, request_id=""):
-    """Return the encoded request."""
+def encode_request(
+    path, method="GET", body=b"", key=KEY, wait_ms=3000, request_id="", fields=None
+):
+    """Return the encoded request, with further header fields if given."""
     request_id = request_id or hashlib.md5(random.randbytes(8)).hexdigest()
     lines = [
         f"{method} {path} HTTP/1.1",
@@ -152,6 +154,7 @@
     ]
     if key:
         lines.append(f"X-Chervilpitch-Key: {key}")
+    lines.extend(f"{name}: {value}" for name, value in (fields or {}).items())
     if body:
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
