Take no configuration without a list of routes for one that withdraws them all

What callers would see: 404 for every path, after an item with a version of its own and no routes stands where the configuration is expected. Cause: missing hosts and routes were read as none. Change: both lists are required; a configuration without routes has an empty list. The new test and the property test failed before and pass now.

--- a/src/chervilpitch/platform/configuration.py
+++ b/src/chervilpitch/platform/configuration.py
@@ -51,8 +51,8 @@
         version=_count(body["version"]),
         routes=tuple(
             _route(_text(entry["host"]).lower(), route, bool(accounts))
-            for entry in body.get("virtual_hosts") or []
-            for route in entry.get("path_routes") or []
+            for entry in _list(body["virtual_hosts"])
+            for route in _list(entry["path_routes"])
         ),
         accounts={item["name"]: _account(item) for item in accounts},
         account_of_key={
--- a/tests/gateway/test_odd_configuration.py
+++ b/tests/gateway/test_odd_configuration.py
@@ -82,6 +82,12 @@
     assert requester_state.is_ready()
 
 
+def test_version_without_routes_does_not_withdraw_every_route():
+    state = state_in_force()
+    state.apply_configuration_items((item_of(b'{"version": 4}', 6),), 100.0)
+    assert state.configuration.version == 3
+
+
 @given(contents())
 def test_any_entry_in_the_place_of_a_configuration_leaves_the_one_in_force(content):
     state = state_in_force()
