--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -210,6 +210,14 @@
             if is_configuration and item.revision > self.configuration_revision:
                 self._configuration_item = item
                 self._apply_configuration(item)
+            elif is_configuration:
+                decoded = platform.decode_configuration(item.value)
+                log.info(
+                    "Configuration read is not newer; kept the one in force.",
+                    version=decoded.map_or(0, lambda read: read.version),
+                    revision=item.revision,
+                    known_revision=self.configuration_revision,
+                )
 
     def apply_entry_items(
         self, items: tuple[StoreItem, ...], revision: int, is_complete: bool
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -97,6 +97,7 @@
         self._clock = clock
         self._is_reachable = True
         self._calls = 0
+        self._era: int | None = None
 
     @property
     def call_count(self) -> int:
@@ -217,11 +218,23 @@
     async def _call_store(self, connection, target, parse, wait_s=0.0):
         self._calls += 1
         response = await connection.get(target, wait_s + READ_TIMEOUT_S)
+        self._observe_era(response)
         parsed = parse(response.status, response.body)
         if parsed.is_err():
             raise StoreCallError(parsed.unwrap_err())
         return parsed.unwrap()
 
+    def _observe_era(self, response):
+        era = platform.parse_era(response.headers)
+        if era.is_ok() and era.unwrap() != self._era:
+            log.info(
+                "Store states another era.",
+                era=era.unwrap(),
+                before=self._era,
+                status=response.status,
+            )
+            self._era = era.unwrap()
+
     def _mark_reachable(self):
         if not self._is_reachable:
             log.info("Store reached again.")
--- a/src/chervilpitch/model/__init__.py
+++ b/src/chervilpitch/model/__init__.py
@@ -21,9 +21,10 @@
 from .effects import Effect, Event, Record, Send
 from .instances import Instance, InstanceState, Sender, region_of
 from .refusals import Refusal, RefusalKind, RunState
-from .store_items import StoreItem
+from .store_items import FIRST_ERA, StoreItem, StorePosition
 
 __all__ = [
+    "FIRST_ERA",
     "EMPTY_CATALOGUE",
     "NO_CONFIGURATION",
     "AccountQuota",
@@ -46,6 +47,7 @@
     "Send",
     "Sender",
     "StoreItem",
+    "StorePosition",
     "Upstream",
     "UpstreamEntry",
     "WeightedService",
--- a/src/chervilpitch/model/store_items.py
+++ b/src/chervilpitch/model/store_items.py
@@ -2,7 +2,10 @@
 
 from typing import NamedTuple
 
-__all__ = ["StoreItem"]
+__all__ = ["FIRST_ERA", "StoreItem", "StorePosition"]
+
+FIRST_ERA = 0
+"""Era of a store that states none."""
 
 
 class StoreItem(NamedTuple):
@@ -24,3 +27,23 @@
     value: bytes
     revision: int
     is_removed: bool = False
+
+
+class StorePosition(NamedTuple):
+    """Point in the history of the store; earlier ones compare as less.
+
+    Parameters
+    ----------
+    era : int
+        Era of the store; it rises each time that the store is restored from a copy.
+    revision : int
+        Revision within the era; a later era gives out the same revisions again.
+
+    Examples
+    --------
+    >>> StorePosition(2, 7) > StorePosition(1, 40)
+    True
+    """
+
+    era: int = FIRST_ERA
+    revision: int = 0
--- a/src/chervilpitch/platform/store.py
+++ b/src/chervilpitch/platform/store.py
@@ -8,12 +8,15 @@
 
 from result import Err, Ok, Result
 
-from chervilpitch.model import StoreItem
+from chervilpitch.model import FIRST_ERA, StoreItem
+
+from .upstreams import Headers, header_value
 
 __all__ = [
     "StoreResponse",
     "StoreProblem",
     "key_target",
+    "parse_era",
     "parse_key",
     "parse_range",
     "parse_watch",
@@ -24,9 +27,11 @@
 KEY_PATH = "/api/kv-key"
 RANGE_PATH = "/api/kv-range"
 WATCH_PATH = "/api/kv-watch"
+ERA = b"store-era"
 OK_STATUS = 200
 NOT_FOUND_STATUS = 404
 GONE_STATUS = 410
+MAX_ERA_DIGITS = 18
 
 
 class StoreProblem(StrEnum):
@@ -90,6 +95,30 @@
     return f"{WATCH_PATH}?{urlencode(fields)}"
 
 
+def parse_era(headers: Headers) -> Result[int, StoreProblem]:
+    """Parse the era that each response of the store states, also one of an error.
+
+    The era rises each time that the store loses acknowledged writes because it is
+    restored from a copy. Revisions are ordered within one era only.
+
+    Parameters
+    ----------
+    headers : sequence of pairs of bytes
+        Lower-case names and values.
+
+    Returns
+    -------
+    Result
+        The era, which is the first one if none is stated, or UNREADABLE.
+    """
+    value = header_value(headers, ERA).strip()
+    if not value:
+        return Ok(FIRST_ERA)
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return Err(StoreProblem.UNREADABLE)
+    return Ok(int(value))
+
+
 def parse_key(status: int, body: bytes) -> Result[StoreResponse, StoreProblem]:
     """Parse the response for one item; a missing item yields no items."""
     if status == NOT_FOUND_STATUS:
