--- a/standins/store.py
+++ b/standins/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from copy import copy
 from http import HTTPStatus
 from urllib.parse import parse_qs
 
@@ -32,6 +33,8 @@
         Whether calls get no response.
     calls : int
         Number of calls so far.
+    era : int
+        Era that all responses state; it rises with each restoration.
     """
 
     def __init__(self):
@@ -39,6 +42,7 @@
         self.history = []
         self.revision = 1
         self.compacted_revision = 0
+        self.era = 1
         self.is_refusing = False
         self.is_silent = False
         self.calls = 0
@@ -88,13 +92,30 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def save(self):
+        """Return a copy of the items, history and revision."""
+        return {
+            "items": copy(self.items),
+            "history": copy(self.history),
+            "revision": self.revision,
+            "compacted_revision": self.compacted_revision,
+        }
+
+    def restore(self, saved):
+        """Return to a copy and begin a new era, which reuses revisions."""
+        self.items = copy(saved["items"])
+        self.history = copy(saved["history"])
+        self.revision = saved["revision"]
+        self.compacted_revision = saved["compacted_revision"]
+        self.era += 1
+
     async def serve(self, request):
         """Return the response to one call."""
         self.calls += 1
         if self.is_silent:
             await asyncio.sleep(60)
         if self.is_refusing:
-            return ServerResponse(HTTPStatus.SERVICE_UNAVAILABLE, [])
+            return ServerResponse(HTTPStatus.SERVICE_UNAVAILABLE, [self._era_header()])
         path, _, query = request.target.decode().partition("?")
         fields = {name: values[0] for name, values in parse_qs(query).items()}
         if path == "/api/kv-key":
@@ -121,7 +142,7 @@
         after = int(fields["after"])
         deadline_s = monotonic_s() + int(fields["wait_ms"]) / 1000
         while True:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return self._respond({}, HTTPStatus.GONE)
             events = [
                 item
@@ -134,4 +155,8 @@
 
     def _respond(self, fields, status=HTTPStatus.OK):
         body = json.dumps(fields | {"current_rev": self.revision}).encode()
-        return ServerResponse(status, [(b"Content-Type", b"application/json")], body)
+        headers = [(b"Content-Type", b"application/json"), self._era_header()]
+        return ServerResponse(status, headers, body)
+
+    def _era_header(self):
+        return b"Store-Era", str(self.era).encode()
--- a/tests/whole/test_gateway.py
+++ b/tests/whole/test_gateway.py
@@ -180,6 +180,28 @@
     run_scenario(scenario)
 
 
+def test_version_after_a_restoration_of_the_store_is_in_force_everywhere(tmp_path):
+    async def scenario():
+        async with GatewayFleet(tmp_path) as fleet:
+            saved = fleet.store.save()
+            _, instances = await start_instances(fleet, 1, 2, 3)
+            fleet.store.put("op/config", configuration(2))
+            await asyncio.sleep(1.5)
+            fleet.store.restore(saved)
+            account = {"name": ACCOUNT, "api_keys": ["new"], "rate_per_s": 0}
+            fleet.store.put("op/config", configuration(3, tenants=[account]))
+
+            async def is_applied():
+                statuses = [
+                    (await send_request(item, key="new"))[0] for item in instances
+                ]
+                return statuses == [200, 200, 200]
+
+            await wait_until(is_applied, timeout_s=5.0)
+
+    run_scenario(scenario)
+
+
 def test_killed_instances_serve_after_a_restart(tmp_path):
     async def scenario():
         async with GatewayFleet(tmp_path) as fleet:
