Order the store's state by era, and configurations by version, not by revision alone

Cause: the revision ordered everything (configuration, entries, questions between instances, watches), and it is monotonic within one era only. A version or an entry written at a reused revision was read and ignored.

Change: Store-Era is checked on every response, failed ones included. A reader that sees another era than it watched reads anew; an earlier era than the newest known is a failed call. A complete list of a later era replaces the replica, changes apply within one era. Configurations are ordered by version; one that can't be decoded displaces nothing. A proof counts only if the store, or the instance that answers, shows the version in force; in the first 2 s of an era only if it was written again. An upstream that is missing is kept for 2.2 s after a change of era, also after a short outage; an entry that may come from the copy doesn't restore an upstream that was removed with the same one. Questions and answers carry era and version in new fields.

--- a/src/chervilpitch/gateway/gateway.capnp
+++ b/src/chervilpitch/gateway/gateway.capnp
@@ -90,6 +90,8 @@
   entriesRevision @2 :UInt64;
   membersDigest @3 :UInt32;
   isGroupMember @4 :Bool;
+  entriesEra @5 :Int64 = -1;
+  configurationVersion @6 :UInt64;
 }
 
 struct StateAnswer {
@@ -104,4 +106,6 @@
   membersDigest @8 :UInt32;
   members @9 :Members;
   heardShare @10 :Float32;
+  entriesEra @11 :Int64 = -1;
+  configurationVersion @12 :UInt64;
 }
--- a/src/chervilpitch/gateway/messages.py
+++ b/src/chervilpitch/gateway/messages.py
@@ -6,6 +6,7 @@
 from chervilpitch.policy import AccountUsage, Member, UpstreamReport
 
 __all__ = [
+    "UNSTATED_ERA",
     "Evidence",
     "InstanceEvidence",
     "MemberRecords",
@@ -20,6 +21,9 @@
     "source_of",
 ]
 
+UNSTATED_ERA = -1
+"""Era in messages of builds that don't know eras."""
+
 
 def source_of(instance: str, incarnation: int) -> str:
     """Return the name under which an incarnation counts admitted requests.
@@ -210,6 +214,11 @@
     is_group_member : bool
         Whether the receiver is the sender's aggregator, so that the list of members
         is wanted if it has changed.
+    entries_era : int
+        Era of the store to which ``entries_revision`` belongs; ``UNSTATED_ERA`` if
+        the sender's build doesn't know eras.
+    configuration_version : int
+        Version of the sender's configuration; 0 for none or if not stated.
     """
 
     number: int
@@ -217,6 +226,8 @@
     entries_revision: int
     members_digest: int = 0
     is_group_member: bool = False
+    entries_era: int = UNSTATED_ERA
+    configuration_version: int = 0
 
 
 class StateAnswer(NamedTuple):
@@ -247,6 +258,12 @@
         These members, if the requesting instance has another list.
     heard_share : float
         Share of the region's instances that the answering one heard recently.
+    entries_era : int
+        Era of the store to which ``entries`` belong; ``UNSTATED_ERA`` if the sender's
+        build doesn't know eras.
+    configuration_version : int
+        Version of the configuration in force that the proof concerns; 0 if there is
+        none or the sender's build doesn't state it.
     """
 
     number: int
@@ -260,3 +277,5 @@
     members_digest: int = 0
     members: tuple[Member, ...] = ()
     heard_share: float = 0.0
+    entries_era: int = UNSTATED_ERA
+    configuration_version: int = 0
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -4,6 +4,7 @@
 
 from chervilpitch import platform
 from chervilpitch.model import (
+    FIRST_ERA,
     NO_CONFIGURATION,
     AccountQuota,
     Configuration,
@@ -24,6 +25,7 @@
     PlannedStop,
     RetryBudget,
     RouteTable,
+    StoreEra,
     UpstreamListing,
     UpstreamTable,
     UsageCounters,
@@ -67,6 +69,7 @@
         self._configuration = NO_CONFIGURATION
         self._routes = RouteTable(())
         self._configuration_item: StoreItem | None = None
+        self._store_era = StoreEra()
         self._entry_items = ItemReplica()
         self._decoded_entries: dict[str, UpstreamEntry] = {}
         self._listing = UpstreamListing()
@@ -119,14 +122,19 @@
         """Contact with the region and the store."""
         return self._contact
 
+    @property
+    def store_era(self) -> int:
+        """The newest era of the store that is known."""
+        return self._store_era.number
+
     @property
     def configuration_item(self) -> StoreItem | None:
-        """The newest configuration as stored; None before the first one."""
+        """The configuration in force as stored; None before the first one."""
         return self._configuration_item
 
     @property
     def configuration_revision(self) -> int:
-        """Revision at which the newest configuration was written; 0 for none."""
+        """Revision at which the configuration in force was written; 0 for none."""
         item = self._configuration_item
         return 0 if item is None else item.revision
 
@@ -190,10 +198,29 @@
         is_fresh = self._freshness.may_use_keys(self._clock())
         return has_configuration and is_fresh and not self.is_leaving
 
+    def observe_era(self, era: int) -> None:
+        """Record an era that the store or another instance states.
+
+        Parameters
+        ----------
+        era : int
+            The era; one that is earlier than a known one is ignored.
+        """
+        before = self._store_era.number
+        if self._store_era.observe(era, self._clock()):
+            log.warning("Store came back from an older copy.", era=era, before=before)
+
     def apply_configuration_items(
-        self, items: tuple[StoreItem, ...], proved_at_s: float
+        self,
+        items: tuple[StoreItem, ...],
+        proved_at_s: float,
+        is_change: bool = False,
     ) -> None:
-        """Record a proof and apply the configuration if it is newer.
+        """Apply the configuration that the store shows, and record the proof.
+
+        Versions alone decide which configuration is newer, as the store may give out
+        revisions again. It is no proof if the store shows an older version than the
+        one in force.
 
         Parameters
         ----------
@@ -201,26 +228,63 @@
             The items read; empty if the configuration has not changed.
         proved_at_s : float
             Monotonic time in seconds at which it was the newest one in the store.
+        is_change : bool
+            Whether the items were written after an earlier read in the same era.
+        """
+        for item in items:
+            configuration = self._decode_configuration(item)
+            if configuration is not None:
+                self._record_shown(configuration.version, item, is_change)
+                self._apply_configuration(configuration, item)
+        if self._store_era.proves(self._configuration.version, self._clock()):
+            self._add_proof(proved_at_s)
+
+    def apply_relayed_configuration(
+        self, items: tuple[StoreItem, ...], version: int, proved_at_s: float
+    ) -> None:
+        """Apply the configuration of another instance, and its proof if it holds here.
+
+        Parameters
+        ----------
+        items : tuple of StoreItem
+            The configuration in force there, if it is newer.
+        version : int
+            Its version; 0 if it is not stated, which is trusted.
+        proved_at_s : float
+            Monotonic time in seconds at which it was the newest one in the store.
         """
+        for item in items:
+            configuration = self._decode_configuration(item)
+            if configuration is not None:
+                self._apply_configuration(configuration, item)
+        if version in (0, self._configuration.version):
+            self._add_proof(proved_at_s)
+
+    def _add_proof(self, proved_at_s):
         now_s = self._clock()
         if self._freshness.add_proof(proved_at_s, now_s):
             self._contact.record_proof(now_s)
-        for item in items:
-            is_configuration = item.key == platform.CONFIGURATION_KEY
-            if is_configuration and item.revision > self.configuration_revision:
-                self._configuration_item = item
-                self._apply_configuration(item)
-            elif is_configuration:
-                decoded = platform.decode_configuration(item.value)
-                log.info(
-                    "Configuration read is not newer; kept the one in force.",
-                    version=decoded.map_or(0, lambda read: read.version),
-                    revision=item.revision,
-                    known_revision=self.configuration_revision,
-                )
+
+    def _record_shown(self, version, item, is_change):
+        is_same_version = version == self._configuration.version
+        is_other_item = item.revision != self.configuration_revision
+        is_rewritten = is_change or (is_same_version and is_other_item)
+        self._store_era.record_shown(version, is_rewritten)
+        if version < self._configuration.version:
+            log.warning(
+                "Store shows an older configuration; kept the one in force.",
+                version=version,
+                in_force=self._configuration.version,
+                revision=item.revision,
+                era=self.store_era,
+            )
 
     def apply_entry_items(
-        self, items: tuple[StoreItem, ...], revision: int, is_complete: bool
+        self,
+        items: tuple[StoreItem, ...],
+        revision: int,
+        is_complete: bool,
+        era: int = FIRST_ERA,
     ) -> None:
         """Apply upstreams' entries that were read from the store.
 
@@ -232,10 +296,13 @@
             Revision of the store that the items reach up to.
         is_complete : bool
             Whether the items are all entries; they then replace the earlier ones.
+        era : int
+            Era of the store to which the revisions belong.
         """
+        self.observe_era(era)
         replica = self._entry_items
         update = replica.replace if is_complete else replica.apply
-        changed = update(items, revision)
+        changed = update(items, revision, era)
         if changed:
             self._apply_entries(changed)
 
@@ -244,23 +311,29 @@
         if self._is_removal_pending:
             self._apply_entries(())
 
-    def _apply_configuration(self, item):
+    def _decode_configuration(self, item) -> Configuration | None:
+        if item.key != platform.CONFIGURATION_KEY or item.is_removed:
+            return None
         decoded = platform.decode_configuration(item.value)
-        if decoded.is_err():
-            log.error(
-                "Configuration could not be decoded; kept the one in force.",
-                cause=str(decoded.unwrap_err()),
-            )
-            return
-        configuration = decoded.unwrap()
+        if decoded.is_ok():
+            return decoded.unwrap()
+        log.error(
+            "Configuration could not be decoded; kept the one in force.",
+            cause=str(decoded.unwrap_err()),
+        )
+        return None
+
+    def _apply_configuration(self, configuration, item):
         if configuration.version <= self._configuration.version:
             return
+        self._configuration_item = item
         log.info(
             "Configuration in force.",
             version=configuration.version,
             before=self._configuration.version,
             routes=len(configuration.routes),
             revision=item.revision,
+            era=self.store_era,
         )
         self._accounts = self._configuration.accounts
         self._configuration = configuration
@@ -275,13 +348,25 @@
             self._decode_entry(key, items.get(key))
         entries = self._decoded_entries.values()
         now_s = self._clock()
-        missing_until_s = self._freshness.gap_ended_at_s + MISSING_ENTRY_GRACE_S
-        listed = self._listing.update(entries, now_s, missing_until_s)
+        missing_until_s = self._outage_ended_at_s() + MISSING_ENTRY_GRACE_S
+        copied = {
+            key.removeprefix(platform.ENTRY_PREFIX)
+            for key, item in items.items()
+            if item.revision <= self._entry_items.copied_until
+        }
+        listed = self._listing.update(entries, now_s, missing_until_s, copied)
         self._is_removal_pending = now_s < missing_until_s
         self._upstreams.update_entries(listed, now_s)
         if keys:
             log.info("Upstreams changed.", changed=len(keys), listed=len(listed))
 
+    def _outage_ended_at_s(self) -> float:
+        """Return when the store was back; a new era also ends a gap between proofs."""
+        changed_at_s = self._store_era.changed_at_s
+        if self._freshness.gap_began_at_s <= changed_at_s:
+            return changed_at_s
+        return self._freshness.gap_ended_at_s
+
     def _decode_entry(self, key, item):
         self._decoded_entries.pop(key, None)
         if item is None:
--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -12,7 +12,7 @@
 )
 
 from .heartbeats import log_discovered
-from .messages import StateAnswer, StateQuestion
+from .messages import UNSTATED_ERA, StateAnswer, StateQuestion
 from .peers import PeerSocket
 from .region import RegionView
 from .state import GatewayState
@@ -144,6 +144,8 @@
             0 if self._needs_all_entries else self._state.entry_items.revision,
             self._members_digest if self._members.has_relayed else 0,
             is_group_member,
+            self._state.entry_items.era,
+            self._state.configuration.version,
         )
         self._socket.send([member.peers_address], question)
 
@@ -196,15 +198,24 @@
             self._merge_members(message)
         state = self._state
         if message.proof_age_s < NO_PROOF_AGE_S:
-            state.apply_configuration_items(
-                message.configuration, pending.asked_at_s - message.proof_age_s
+            state.apply_relayed_configuration(
+                message.configuration,
+                message.configuration_version,
+                pending.asked_at_s - message.proof_age_s,
             )
         if message.entries_revision:
-            state.apply_entry_items(
-                message.entries, message.entries_revision, message.is_complete
-            )
-            digest = state.entry_items.digest
-            self._needs_all_entries = digest != message.entries_digest
+            self._apply_entries(message)
+
+    def _apply_entries(self, message):
+        replica = self._state.entry_items
+        era = _stated_era(message.entries_era, replica.era)
+        if era < replica.era:
+            return
+        self._state.apply_entry_items(
+            message.entries, message.entries_revision, message.is_complete, era
+        )
+        is_equal = replica.digest == message.entries_digest and replica.era == era
+        self._needs_all_entries = not is_equal
 
     def _record_timeouts(self, now_s):
         """Use other sources if questions were not answered in time."""
@@ -264,25 +275,42 @@
             self._region.refresh_soon()
 
     def _build_answer(self, question, age_s) -> StateAnswer:
-        configuration = self._state.configuration_item
-        is_newer = (
-            configuration is not None
-            and configuration.revision > question.configuration_revision
-        )
         entries = self._state.entry_items
-        changed = entries.changes_since(question.entries_revision)
-        is_complete = question.entries_revision == 0 or changed is None
+        asked_era = _stated_era(question.entries_era, entries.era)
+        changed = ()
+        if asked_era == entries.era and question.entries_revision:
+            changed = entries.changes_since(question.entries_revision)
+        is_complete = (
+            asked_era < entries.era or not question.entries_revision or changed is None
+        )
+        is_behind = asked_era > entries.era
         return StateAnswer(
             question.number,
             age_s,
             self._state.configuration_revision,
-            (configuration,) if is_newer else (),
-            entries.revision,
-            entries.items if is_complete else changed,
-            is_complete,
+            self._newer_configuration(question),
+            0 if is_behind else entries.revision,
+            entries.items if is_complete and not is_behind else changed or (),
+            is_complete and not is_behind,
             entries.digest,
+            entries_era=entries.era,
+            configuration_version=self._state.configuration.version,
         )
 
+    def _newer_configuration(self, question):
+        """Return the configuration if the question doesn't state it or a newer one."""
+        configuration = self._state.configuration_item
+        if configuration is None:
+            return ()
+        if question.configuration_version:
+            known, own = (
+                question.configuration_version,
+                self._state.configuration.version,
+            )
+        else:
+            known, own = question.configuration_revision, configuration.revision
+        return (configuration,) if own > known else ()
+
     def _add_members(self, answer, known_digest) -> StateAnswer:
         """Return an answer with the list of members, if the known one is another."""
         digest = self._region.known_digest
@@ -291,3 +319,8 @@
             members=self._region.known if digest != known_digest else (),
             heard_share=self._members.heard_share(self._clock()),
         )
+
+
+def _stated_era(era: int, own_era: int) -> int:
+    """Return an era in a message; builds that know no eras are taken to be in ours."""
+    return own_era if era == UNSTATED_ERA else era
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from chervilpitch import platform
+from chervilpitch.model import StorePosition
 from chervilpitch.observe import part_logger
 
 from .gossip import Gossip
@@ -23,6 +24,11 @@
 FIRST_ANSWER_TIMEOUT_S = 0.5
 START_POLL_INTERVAL_S = 0.03
 MS_PER_S = 1_000
+READ_ANEW = (
+    platform.StoreProblem.HISTORY_GONE,
+    platform.StoreProblem.ERA_CHANGED,
+)
+"""Failures after which a watch can't continue from its position."""
 WATCH_MISS_WINDOW_S = 1.0
 """A watch may miss changes for this long, so its proof is dated back by as much."""
 
@@ -97,7 +103,6 @@
         self._clock = clock
         self._is_reachable = True
         self._calls = 0
-        self._era: int | None = None
 
     @property
     def call_count(self) -> int:
@@ -122,7 +127,7 @@
         connection = _StoreConnection(self._address)
         try:
             await self._list_entries(connection)
-            await self._read_configuration(connection, 0)
+            await self._read_configuration(connection, None)
         except (StoreCallError, ExchangeError, TimeoutError) as error:
             self._mark_unreachable(error)
         finally:
@@ -146,19 +151,21 @@
 
     async def _watch(self, read):
         connection = _StoreConnection(self._address)
-        revision = 0
+        position: StorePosition | None = None
         while True:
             if not self._gossip.is_reading:
                 connection.close()
-                revision = 0
+                position = None
                 await self._gossip.reading_begun.wait()
                 continue
             try:
-                revision = await read(connection, revision)
+                position = await read(connection, position)
                 self._mark_reachable()
             except StoreCallError as error:
-                if error.problem is platform.StoreProblem.HISTORY_GONE:
-                    revision = 0
+                if error.problem in READ_ANEW:
+                    position = None
+                if error.problem is platform.StoreProblem.ERA_CHANGED:
+                    continue
                 self._mark_unreachable(error)
                 await asyncio.sleep(RETRY_DELAY_S)
             except (ExchangeError, TimeoutError) as error:
@@ -166,74 +173,88 @@
                 self._mark_unreachable(error)
                 await asyncio.sleep(RETRY_DELAY_S)
 
-    async def _read_configuration(self, connection, revision) -> int:
-        state = self._state
+    async def _read_configuration(self, connection, position) -> StorePosition | None:
         started_at_s = self._clock()
-        if not revision:
+        if position is None:
             target = platform.key_target(platform.CONFIGURATION_KEY)
-            changes = await self._call_store(connection, target, platform.parse_key)
-            if not changes.items:
+            read = await self._call_store(connection, target, platform.parse_key)
+            if not read.items:
                 await asyncio.sleep(RETRY_DELAY_S)
-                return 0
-            proved_at_s = started_at_s
-        else:
-            prefix = platform.CONFIGURATION_KEY
-            target = platform.watch_target(prefix, revision, CONFIGURATION_WATCH_MS)
-            wait_s = CONFIGURATION_WATCH_MS / MS_PER_S
-            changes = await self._call_store(
-                connection, target, platform.parse_watch, wait_s
-            )
-            proved_at_s = started_at_s - WATCH_MISS_WINDOW_S
-        state.apply_configuration_items(changes.items, proved_at_s)
-        return changes.revision
+                return None
+            self._state.apply_configuration_items(read.items, started_at_s)
+            return StorePosition(read.era, read.revision)
+        changes = await self._watch_changes(
+            connection, platform.CONFIGURATION_KEY, position, CONFIGURATION_WATCH_MS
+        )
+        proved_at_s = started_at_s - WATCH_MISS_WINDOW_S
+        self._state.apply_configuration_items(changes.items, proved_at_s, True)
+        return StorePosition(changes.era, changes.revision)
 
-    async def _read_entries(self, connection, revision) -> int:
-        if not revision:
+    async def _read_entries(self, connection, position) -> StorePosition:
+        if position is None:
             return await self._list_entries(connection)
-        prefix = platform.ENTRY_PREFIX
-        target = platform.watch_target(prefix, revision, ENTRIES_WATCH_MS)
-        wait_s = ENTRIES_WATCH_MS / MS_PER_S
-        changes = await self._call_store(
-            connection, target, platform.parse_watch, wait_s
+        changes = await self._watch_changes(
+            connection, platform.ENTRY_PREFIX, position, ENTRIES_WATCH_MS
+        )
+        self._state.apply_entry_items(
+            changes.items, changes.revision, False, changes.era
         )
-        self._state.apply_entry_items(changes.items, changes.revision, False)
         await asyncio.sleep(ENTRIES_WATCH_PAUSE_S)
-        return changes.revision
+        return StorePosition(changes.era, changes.revision)
+
+    async def _watch_changes(self, connection, prefix, position, wait_ms):
+        target = platform.watch_target(prefix, position.revision, wait_ms)
+        return await self._call_store(
+            connection,
+            target,
+            platform.parse_watch,
+            wait_ms / MS_PER_S,
+            position.era,
+        )
 
-    async def _list_entries(self, connection) -> int:
+    async def _list_entries(self, connection) -> StorePosition:
         items = []
-        first_revision = 0
+        first: StorePosition | None = None
         after = ""
         while True:
             target = platform.range_target(platform.ENTRY_PREFIX, after)
-            page = await self._call_store(connection, target, platform.parse_range)
-            first_revision = first_revision or page.revision
+            page = await self._call_store(
+                connection,
+                target,
+                platform.parse_range,
+                watched_era=None if first is None else first.era,
+            )
+            first = first or StorePosition(page.era, page.revision)
             items.extend(page.items)
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
-        self._state.apply_entry_items(tuple(items), first_revision, True)
-        return first_revision
+        self._state.apply_entry_items(tuple(items), first.revision, True, first.era)
+        return first
 
-    async def _call_store(self, connection, target, parse, wait_s=0.0):
+    async def _call_store(
+        self, connection, target, parse, wait_s=0.0, watched_era=None
+    ) -> platform.StoreResponse:
         self._calls += 1
         response = await connection.get(target, wait_s + READ_TIMEOUT_S)
-        self._observe_era(response)
+        era = self._checked_era(response, watched_era)
         parsed = parse(response.status, response.body)
         if parsed.is_err():
             raise StoreCallError(parsed.unwrap_err())
-        return parsed.unwrap()
-
-    def _observe_era(self, response):
-        era = platform.parse_era(response.headers)
-        if era.is_ok() and era.unwrap() != self._era:
-            log.info(
-                "Store states another era.",
-                era=era.unwrap(),
-                before=self._era,
-                status=response.status,
-            )
-            self._era = era.unwrap()
+        return parsed.unwrap()._replace(era=era)
+
+    def _checked_era(self, response, watched_era) -> int:
+        """Return the era of a response that follows what is known and was watched."""
+        parsed = platform.parse_era(response.headers)
+        if parsed.is_err():
+            raise StoreCallError(parsed.unwrap_err())
+        era = parsed.unwrap()
+        if era < self._state.store_era:
+            raise StoreCallError(platform.StoreProblem.EARLIER_ERA)
+        self._state.observe_era(era)
+        if watched_era not in (None, era):
+            raise StoreCallError(platform.StoreProblem.ERA_CHANGED)
+        return era
 
     def _mark_reachable(self):
         if not self._is_reachable:
--- a/src/chervilpitch/platform/store.py
+++ b/src/chervilpitch/platform/store.py
@@ -40,6 +40,8 @@
     REFUSED = "refused"
     HISTORY_GONE = "history-gone"
     UNREADABLE = "unreadable"
+    ERA_CHANGED = "era-changed"
+    EARLIER_ERA = "earlier-era"
 
 
 class StoreResponse(NamedTuple):
@@ -53,11 +55,14 @@
         Revision of the store at the time of the response.
     has_more : bool
         Whether the list continues after the last item.
+    era : int
+        Era of the store, in which the revisions are ordered.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
     has_more: bool = False
+    era: int = FIRST_ERA
 
 
 def key_target(key: str) -> str:
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -35,6 +35,7 @@
 from .report_totals import ReportTotals
 from .routes import RouteTable, pick_service
 from .stopping import PlannedStop
+from .store_era import StoreEra
 from .upstream_state import UpstreamReport, UpstreamState
 from .usage import AccountUsage, ReportedUsage, UsageCounters
 
@@ -62,6 +63,7 @@
     "ReportedUsage",
     "RetryBudget",
     "RouteTable",
+    "StoreEra",
     "UpstreamListing",
     "UpstreamReport",
     "UpstreamState",
--- a/src/chervilpitch/policy/freshness.py
+++ b/src/chervilpitch/policy/freshness.py
@@ -61,8 +61,14 @@
         self._limits = limits
         self._proved_at_s: float | None = None
         self._received_at_s: float | None = None
+        self._gap_began_at_s = float("-inf")
         self._gap_ended_at_s = float("-inf")
 
+    @property
+    def gap_began_at_s(self) -> float:
+        """Monotonic time in seconds of the last proof before the latest gap."""
+        return self._gap_began_at_s
+
     @property
     def gap_ended_at_s(self) -> float:
         """Monotonic time in seconds of the first proof after the latest gap."""
@@ -86,6 +92,7 @@
         if self._proved_at_s is not None and valid_at_s <= self._proved_at_s:
             return False
         if self._received_at_s is not None and now_s - self._received_at_s > MAX_GAP_S:
+            self._gap_began_at_s = self._received_at_s
             self._gap_ended_at_s = now_s
         self._received_at_s = now_s
         self._proved_at_s = valid_at_s
--- a/src/chervilpitch/policy/listing.py
+++ b/src/chervilpitch/policy/listing.py
@@ -1,6 +1,6 @@
 """List of upstreams from store entries that may be outdated or missing."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from chervilpitch.model import UpstreamEntry
 
@@ -28,7 +28,11 @@
         self._tombstones: dict[str, UpstreamEntry] = {}
 
     def update(
-        self, entries: Iterable[UpstreamEntry], now_s: float, missing_until_s: float
+        self,
+        entries: Iterable[UpstreamEntry],
+        now_s: float,
+        missing_until_s: float,
+        copied: Collection[str] = (),
     ) -> tuple[UpstreamEntry, ...]:
         """Apply the store's current entries and return the listed ones.
 
@@ -40,14 +44,22 @@
             Monotonic time in seconds.
         missing_until_s : float
             Monotonic time in seconds until which a missing entry may reappear.
+        copied : collection of str
+            Upstreams whose entries may come from an older copy of the store. Such an
+            entry doesn't restore an upstream that was removed with the same one.
         """
         present = {}
         for entry in entries:
-            known = self._listed.get(entry.name) or self._tombstones.get(entry.name)
-            if known is None or _version(entry) >= _version(known):
+            listed = self._listed.get(entry.name)
+            known = listed or self._tombstones.get(entry.name)
+            if known is None or _version(entry) > _version(known):
+                present[entry.name] = entry
+            elif listed is not None and _version(entry) < _version(known):
+                present[entry.name] = listed
+            elif _version(entry) == _version(known) and (
+                listed is not None or entry.name not in copied
+            ):
                 present[entry.name] = entry
-            elif entry.name in self._listed:
-                present[entry.name] = known
         for name, known in self._listed.items():
             if name in present:
                 continue
--- a/src/chervilpitch/policy/replica.py
+++ b/src/chervilpitch/policy/replica.py
@@ -3,7 +3,7 @@
 import zlib
 from collections.abc import Iterable
 
-from chervilpitch.model import StoreItem
+from chervilpitch.model import FIRST_ERA, StoreItem, StorePosition
 
 __all__ = ["ItemReplica"]
 
@@ -15,7 +15,7 @@
 
     Examples
     --------
-    >>> from chervilpitch.model import StoreItem
+    >>> from chervilpitch.model import FIRST_ERA, StoreItem, StorePosition
     >>> replica = ItemReplica()
     >>> replica.apply([StoreItem("a", b"1", 5, False)], 7)
     ('a',)
@@ -26,14 +26,28 @@
     def __init__(self) -> None:
         self._items: dict[str, StoreItem] = {}
         self._tombstones: dict[str, StoreItem] = {}
-        self._revision = 0
+        self._position = StorePosition()
         self._complete_since = 0
+        self._copied_until = 0
         self._digest: int | None = None
 
     @property
     def revision(self) -> int:
         """Store revision up to which all changes are known; 0 for none."""
-        return self._revision
+        return self._position.revision
+
+    @property
+    def era(self) -> int:
+        """Era of the store to which the items and revisions belong."""
+        return self._position.era
+
+    @property
+    def copied_until(self) -> int:
+        """Revision up to which items may come from an older copy of the store.
+
+        It is 0 in the first era that this replica knows.
+        """
+        return self._copied_until
 
     @property
     def items(self) -> tuple[StoreItem, ...]:
@@ -42,26 +56,39 @@
 
     @property
     def digest(self) -> int:
-        """Checksum of the keys and revisions; equal for equal replicas."""
+        """Checksum of the keys and revisions; equal for equal replicas of an era."""
         if self._digest is None:
             versions = sorted((key, item.revision) for key, item in self._items.items())
             self._digest = zlib.crc32(repr(versions).encode())
         return self._digest
 
-    def apply(self, items: Iterable[StoreItem], revision: int) -> tuple[str, ...]:
-        """Apply the changes up to a revision and return the keys that changed."""
+    def apply(
+        self, items: Iterable[StoreItem], revision: int, era: int = FIRST_ERA
+    ) -> tuple[str, ...]:
+        """Apply the changes up to a revision and return the keys that changed.
+
+        Changes in another era than that of this replica are ignored.
+        """
+        if era != self._position.era:
+            return ()
         changed = tuple(item.key for item in items if self._apply_item(item))
-        self._revision = max(self._revision, revision)
+        self._position = max(self._position, StorePosition(era, revision))
         return changed
 
-    def replace(self, items: Iterable[StoreItem], revision: int) -> tuple[str, ...]:
+    def replace(
+        self, items: Iterable[StoreItem], revision: int, era: int = FIRST_ERA
+    ) -> tuple[str, ...]:
         """Apply a complete list and return the keys that changed.
 
         A list older than this replica is ignored: an item that it names and that is
-        unknown here was removed since, perhaps without a tombstone here.
+        unknown here was removed since, perhaps without a tombstone here. A list of a
+        later era replaces everything, as its revisions can't be compared.
         """
-        if revision < self._revision:
+        position = StorePosition(era, revision)
+        if position < self._position:
             return ()
+        if era != self._position.era:
+            return self._replace_era(tuple(items), position)
         listed = tuple(items)
         present = {item.key for item in listed}
         missing = [
@@ -69,8 +96,20 @@
             for key, item in self._items.items()
             if key not in present and item.revision <= revision
         ]
-        self._complete_since = max(self._complete_since, self._revision)
-        return self.apply((*listed, *missing), revision)
+        self._complete_since = max(self._complete_since, self.revision)
+        return self.apply((*listed, *missing), revision, era)
+
+    def _replace_era(self, listed, position) -> tuple[str, ...]:
+        before = {key: item.value for key, item in self._items.items()}
+        after = {item.key: item.value for item in listed}
+        is_first = self._position == StorePosition()
+        self._items = {item.key: item for item in listed}
+        self._tombstones.clear()
+        self._position = position
+        self._complete_since = position.revision
+        self._copied_until = 0 if is_first else position.revision
+        self._digest = None
+        return tuple(key for key in before | after if before.get(key) != after.get(key))
 
     def changes_since(self, revision: int) -> tuple[StoreItem, ...] | None:
         """Return the items that changed after a revision, including removed ones.
