--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -10,7 +10,6 @@
     Configuration,
     HostRoute,
     StoreItem,
-    UpstreamEntry,
 )
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
@@ -26,16 +25,16 @@
     RetryBudget,
     RouteTable,
     StoreEra,
-    UpstreamListing,
     UpstreamTable,
     UsageCounters,
 )
 
+from .upstream_entries import UpstreamEntries
+
 __all__ = ["GatewayState"]
 
 log = part_logger("state")
 
-MISSING_ENTRY_GRACE_S = 2.2
 RATE_EXCESS_FRACTION = 0.4
 RATE_SLACK_FRACTION = 0.4
 
@@ -70,9 +69,7 @@
         self._routes = RouteTable(())
         self._configuration_item: StoreItem | None = None
         self._store_era = StoreEra()
-        self._entry_items = ItemReplica()
-        self._decoded_entries: dict[str, UpstreamEntry] = {}
-        self._listing = UpstreamListing()
+        self._entries = UpstreamEntries(self._upstreams, clock)
         limits = FreshnessLimits.from_bounds(
             bounds.revocation_s, bounds.configuration_s
         )
@@ -83,7 +80,6 @@
         self._buckets: dict[str, FleetBucket] = {}
         self._admissions = UsageCounters()
         self._accounts: Mapping[str, AccountQuota] = {}
-        self._is_removal_pending = False
         self._stop: PlannedStop | None = None
         self._in_progress = 0
 
@@ -141,7 +137,7 @@
     @property
     def entry_items(self) -> ItemReplica:
         """Replica of the upstreams' entries in the store."""
-        return self._entry_items
+        return self._entries.replica
 
     @property
     def buckets(self) -> dict[str, FleetBucket]:
@@ -300,16 +296,13 @@
             Era of the store to which the revisions belong.
         """
         self.observe_era(era)
-        replica = self._entry_items
-        update = replica.replace if is_complete else replica.apply
-        changed = update(items, revision, era)
-        if changed:
-            self._apply_entries(changed)
+        self._entries.apply(
+            items, revision, is_complete, self._outage_ended_at_s(), era
+        )
 
     def remove_missing_upstreams(self) -> None:
         """Remove upstreams whose entries are still missing after an outage."""
-        if self._is_removal_pending:
-            self._apply_entries(())
+        self._entries.remove_missing(self._outage_ended_at_s())
 
     def _decode_configuration(self, item) -> Configuration | None:
         if item.key != platform.CONFIGURATION_KEY or item.is_removed:
@@ -341,25 +334,6 @@
         for account in configuration.accounts.values():
             self._update_bucket(account)
 
-    def _apply_entries(self, keys):
-        """Decode the entries of the keys that changed, and update the upstreams."""
-        items = {item.key: item for item in self._entry_items.items}
-        for key in keys:
-            self._decode_entry(key, items.get(key))
-        entries = self._decoded_entries.values()
-        now_s = self._clock()
-        missing_until_s = self._outage_ended_at_s() + MISSING_ENTRY_GRACE_S
-        copied = {
-            key.removeprefix(platform.ENTRY_PREFIX)
-            for key, item in items.items()
-            if item.revision <= self._entry_items.copied_until
-        }
-        listed = self._listing.update(entries, now_s, missing_until_s, copied)
-        self._is_removal_pending = now_s < missing_until_s
-        self._upstreams.update_entries(listed, now_s)
-        if keys:
-            log.info("Upstreams changed.", changed=len(keys), listed=len(listed))
-
     def _outage_ended_at_s(self) -> float:
         """Return when the store was back; a new era also ends a gap between proofs."""
         changed_at_s = self._store_era.changed_at_s
@@ -367,20 +341,6 @@
             return changed_at_s
         return self._freshness.gap_ended_at_s
 
-    def _decode_entry(self, key, item):
-        self._decoded_entries.pop(key, None)
-        if item is None:
-            return
-        decoded = platform.decode_entry(key, item.value)
-        if decoded.is_ok():
-            self._decoded_entries[key] = decoded.unwrap()
-        else:
-            log.warning(
-                "Upstream entry could not be decoded; ignored it.",
-                entry=key,
-                cause=str(decoded.unwrap_err()),
-            )
-
     def latency_baseline(self, route: HostRoute) -> LatencyBaseline:
         """Return the baseline of a route's response times."""
         if route.name not in self._baselines:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -181,3 +181,79 @@
             await harness.wait_for_version(6)
 
     asyncio.run(scenario())
+
+
+def test_answers_of_an_earlier_era_are_not_applied():
+    async def scenario():
+        harness = RestoredStoreHarness()
+        harness.store.era = 3
+        harness.publish(1)
+        async with harness.reading():
+            await harness.wait_for_version(1)
+            harness.store.era = 2
+            harness.publish(2)
+            await asyncio.sleep(1.0)
+            assert harness.state.configuration.version == 1
+            harness.store.era = 3
+            await harness.wait_for_version(2)
+
+    asyncio.run(scenario())
+
+
+def test_store_with_a_malformed_era_is_not_read():
+    async def scenario():
+        harness = RestoredStoreHarness()
+        harness.store.era = "two"
+        harness.publish(1)
+        async with harness.reading():
+            await asyncio.sleep(2.0)
+            assert harness.state.configuration.version == 0
+
+    asyncio.run(scenario())
+
+
+def test_refusal_in_a_later_era_begins_the_era():
+    async def scenario():
+        harness = RestoredStoreHarness()
+        harness.publish(1)
+        async with harness.reading():
+            await harness.wait_for_version(1)
+            harness.store.era = 2
+            harness.store.is_refusing = True
+            await harness.wait_until(lambda state: state.store_era == 2)
+
+    asyncio.run(scenario())
+
+
+class StoreRestoredBetweenPages(FakeStore):
+    """Store that returns to a copy before it gives a second page."""
+
+    def __init__(self):
+        super().__init__()
+        self.saved = None
+
+    def _list_items(self, fields):
+        if self.saved is not None and "after" in fields:
+            self.restore(self.saved)
+            self.saved = None
+        return super()._list_items(fields)
+
+
+def test_list_with_pages_of_two_eras_is_read_anew():
+    async def scenario():
+        harness = RestoredStoreHarness()
+        harness.store = StoreRestoredBetweenPages()
+        harness.publish(1)
+        for number in (3, 4):
+            harness.register(f"u{number}")
+        saved = harness.store.save()
+        for number in (1, 2):
+            harness.register(f"u{number}")
+        harness.store.saved = saved
+        async with harness.reading():
+            await harness.wait_until(lambda state: state.upstreams.count(SERVICE))
+            assert harness.state.upstreams.get("u1") is None
+            assert harness.state.upstreams.get("u3") is not None
+            assert harness.state.entry_items.era == 2
+
+    asyncio.run(scenario())
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -127,6 +127,20 @@
     assert platform.parse_key(404, b"").unwrap().items == ()
 
 
+@pytest.mark.parametrize(
+    ("headers", "era"),
+    [([], 0), ([(b"store-era", b"7")], 7), ([(b"store-era", b" 12 ")], 12)],
+)
+def test_store_that_states_no_era_is_in_the_first_one(headers, era):
+    assert platform.parse_era(headers).unwrap() == era
+
+
+@pytest.mark.parametrize("value", [b"two", b"-1", b"1.5", b"9" * 30])
+def test_malformed_era_of_the_store_is_an_error(value):
+    problem = platform.parse_era([(b"store-era", value)]).unwrap_err()
+    assert problem is platform.StoreProblem.UNREADABLE
+
+
 @pytest.mark.parametrize(
     ("status", "body", "problem"),
     [
