--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -4,6 +4,7 @@
 
 from chervilpitch import platform
 from chervilpitch.model import (
+    FIRST_ERA,
     NO_CONFIGURATION,
     AccountQuota,
     Configuration,
@@ -23,18 +24,17 @@
     PlannedStop,
     RetryBudget,
     RouteTable,
-    UpstreamListing,
+    StoreEra,
     UpstreamTable,
     UsageCounters,
 )
 
-from .decoded_entries import DecodedEntries
+from .upstream_entries import UpstreamEntries
 
 __all__ = ["GatewayState"]
 
 log = part_logger("state")
 
-MISSING_ENTRY_GRACE_S = 2.2
 RATE_EXCESS_FRACTION = 0.4
 RATE_SLACK_FRACTION = 0.4
 
@@ -68,9 +68,8 @@
         self._configuration = NO_CONFIGURATION
         self._routes = RouteTable(())
         self._configuration_item: StoreItem | None = None
-        self._entry_items = ItemReplica()
-        self._decoded_entries = DecodedEntries(self._entry_items)
-        self._listing = UpstreamListing()
+        self._store_era = StoreEra()
+        self._entries = UpstreamEntries(self._upstreams, clock)
         limits = FreshnessLimits.from_bounds(
             bounds.revocation_s, bounds.configuration_s
         )
@@ -81,7 +80,6 @@
         self._buckets: dict[str, FleetBucket] = {}
         self._admissions = UsageCounters()
         self._accounts: Mapping[str, AccountQuota] = {}
-        self._is_removal_pending = False
         self._stop: PlannedStop | None = None
         self._in_progress = 0
 
@@ -120,26 +118,31 @@
         """Contact with the region and the store."""
         return self._contact
 
+    @property
+    def store_era(self) -> int:
+        """The newest era of the store that is known."""
+        return self._store_era.number
+
     @property
     def configuration_item(self) -> StoreItem | None:
-        """The newest readable configuration as stored; None before the first one."""
+        """The configuration in force as stored; None before the first one."""
         return self._configuration_item
 
     @property
     def configuration_revision(self) -> int:
-        """Revision at which the newest configuration was written; 0 for none."""
+        """Revision at which the configuration in force was written; 0 for none."""
         item = self._configuration_item
         return 0 if item is None else item.revision
 
     @property
     def entry_items(self) -> ItemReplica:
         """Replica of the upstreams' entries in the store."""
-        return self._entry_items
+        return self._entries.replica
 
     @property
     def malformed_entry_count(self) -> int:
         """Number of upstreams' entries that could not be decoded so far."""
-        return self._decoded_entries.malformed_count
+        return self._entries.malformed_count
 
     @property
     def buckets(self) -> dict[str, FleetBucket]:
@@ -196,10 +199,29 @@
         is_fresh = self._freshness.may_use_keys(self._clock())
         return has_configuration and is_fresh and not self.is_leaving
 
+    def observe_era(self, era: int) -> None:
+        """Record an era that the store or another instance states.
+
+        Parameters
+        ----------
+        era : int
+            The era; one that is earlier than a known one is ignored.
+        """
+        before = self._store_era.number
+        if self._store_era.observe(era, self._clock()):
+            log.warning("Store came back from an older copy.", era=era, before=before)
+
     def apply_configuration_items(
-        self, items: tuple[StoreItem, ...], proved_at_s: float
+        self,
+        items: tuple[StoreItem, ...],
+        proved_at_s: float,
+        is_change: bool = False,
     ) -> None:
-        """Record a proof and apply the configuration if it is newer.
+        """Apply the configuration that the store shows, and record the proof.
+
+        Versions alone decide which configuration is newer, as the store may give out
+        revisions again. It is no proof if the store shows an older version than the
+        one in force.
 
         Parameters
         ----------
@@ -207,17 +229,63 @@
             The items read; empty if the configuration has not changed.
         proved_at_s : float
             Monotonic time in seconds at which it was the newest one in the store.
+        is_change : bool
+            Whether the items were written after an earlier read in the same era.
+        """
+        for item in items:
+            configuration = self._decode_configuration(item)
+            if configuration is not None:
+                self._record_shown(configuration.version, item, is_change)
+                self._apply_configuration(configuration, item)
+        if self._store_era.proves(self._configuration.version, self._clock()):
+            self._add_proof(proved_at_s)
+
+    def apply_relayed_configuration(
+        self, items: tuple[StoreItem, ...], version: int, proved_at_s: float
+    ) -> None:
+        """Apply the configuration of another instance, and its proof if it holds here.
+
+        Parameters
+        ----------
+        items : tuple of StoreItem
+            The configuration in force there, if it is newer.
+        version : int
+            Its version; 0 if it is not stated, which is trusted.
+        proved_at_s : float
+            Monotonic time in seconds at which it was the newest one in the store.
         """
+        for item in items:
+            configuration = self._decode_configuration(item)
+            if configuration is not None:
+                self._apply_configuration(configuration, item)
+        if version in (0, self._configuration.version):
+            self._add_proof(proved_at_s)
+
+    def _add_proof(self, proved_at_s):
         now_s = self._clock()
         if self._freshness.add_proof(proved_at_s, now_s):
             self._contact.record_proof(now_s)
-        for item in items:
-            is_configuration = item.key == platform.CONFIGURATION_KEY
-            if is_configuration and item.revision > self.configuration_revision:
-                self._apply_configuration(item)
+
+    def _record_shown(self, version, item, is_change):
+        is_same_version = version == self._configuration.version
+        is_other_item = item.revision != self.configuration_revision
+        is_rewritten = is_change or (is_same_version and is_other_item)
+        self._store_era.record_shown(version, is_rewritten)
+        if version < self._configuration.version:
+            log.warning(
+                "Store shows an older configuration; kept the one in force.",
+                version=version,
+                in_force=self._configuration.version,
+                revision=item.revision,
+                era=self.store_era,
+            )
 
     def apply_entry_items(
-        self, items: tuple[StoreItem, ...], revision: int, is_complete: bool
+        self,
+        items: tuple[StoreItem, ...],
+        revision: int,
+        is_complete: bool,
+        era: int = FIRST_ERA,
     ) -> None:
         """Apply upstreams' entries that were read from the store.
 
@@ -229,37 +297,42 @@
             Revision of the store that the items reach up to.
         is_complete : bool
             Whether the items are all entries; they then replace the earlier ones.
+        era : int
+            Era of the store to which the revisions belong.
         """
-        replica = self._entry_items
-        update = replica.replace if is_complete else replica.apply
-        changed = update(items, revision)
-        if changed:
-            self._apply_entries(changed)
+        self.observe_era(era)
+        self._entries.apply(
+            items, revision, is_complete, self._outage_ended_at_s(), era
+        )
 
     def remove_missing_upstreams(self) -> None:
         """Remove upstreams whose entries are still missing after an outage."""
-        if self._is_removal_pending:
-            self._apply_entries(())
+        self._entries.remove_missing(self._outage_ended_at_s())
 
-    def _apply_configuration(self, item):
+    def _decode_configuration(self, item) -> Configuration | None:
+        if item.key != platform.CONFIGURATION_KEY or item.is_removed:
+            return None
         decoded = platform.decode_configuration(item.value)
-        if decoded.is_err():
-            log.error(
-                "Configuration could not be decoded; kept the one in force.",
-                cause=str(decoded.unwrap_err()),
-            )
+        if decoded.is_ok():
+            return decoded.unwrap()
+        log.error(
+            "Configuration could not be decoded; kept the one in force.",
+            cause=str(decoded.unwrap_err()),
+        )
+        return None
+
+    def _apply_configuration(self, configuration, item):
+        if configuration.version <= self._configuration.version:
             return
-        configuration = decoded.unwrap()
         routes = RouteTable(configuration.routes)
         self._configuration_item = item
-        if configuration.version <= self._configuration.version:
-            return
         log.info(
             "Configuration in force.",
             version=configuration.version,
             before=self._configuration.version,
             routes=len(configuration.routes),
             revision=item.revision,
+            era=self.store_era,
         )
         self._accounts = self._configuration.accounts
         self._configuration = configuration
@@ -267,17 +340,12 @@
         for account in configuration.accounts.values():
             self._update_bucket(account)
 
-    def _apply_entries(self, keys):
-        """Decode the entries of the keys that changed, and update the upstreams."""
-        self._decoded_entries.update(keys)
-        entries = self._decoded_entries.entries
-        now_s = self._clock()
-        missing_until_s = self._freshness.gap_ended_at_s + MISSING_ENTRY_GRACE_S
-        listed = self._listing.update(entries, now_s, missing_until_s)
-        self._is_removal_pending = now_s < missing_until_s
-        self._upstreams.update_entries(listed, now_s)
-        if keys:
-            log.info("Upstreams changed.", changed=len(keys), listed=len(listed))
+    def _outage_ended_at_s(self) -> float:
+        """Return when the store was back; a new era also ends a gap between proofs."""
+        changed_at_s = self._store_era.changed_at_s
+        if self._freshness.gap_began_at_s <= changed_at_s:
+            return changed_at_s
+        return self._freshness.gap_ended_at_s
 
     def latency_baseline(self, route: HostRoute) -> LatencyBaseline:
         """Return the baseline of a route's response times."""
--- a/src/chervilpitch/platform/store.py
+++ b/src/chervilpitch/platform/store.py
@@ -8,14 +8,16 @@
 
 from result import Err, Ok, Result
 
-from chervilpitch.model import StoreItem
+from chervilpitch.model import FIRST_ERA, StoreItem
 
 from .decoding import MALFORMED_ERRORS, DecodeError, whole_number
+from .upstreams import Headers, header_value
 
 __all__ = [
     "StoreResponse",
     "StoreProblem",
     "key_target",
+    "parse_era",
     "parse_key",
     "parse_range",
     "parse_watch",
@@ -26,9 +28,11 @@
 KEY_PATH = "/api/kv-key"
 RANGE_PATH = "/api/kv-range"
 WATCH_PATH = "/api/kv-watch"
+ERA = b"store-era"
 OK_STATUS = 200
 NOT_FOUND_STATUS = 404
 GONE_STATUS = 410
+MAX_ERA_DIGITS = 18
 MAX_KEY_BYTES = 200
 MAX_REVISION = 2**63 - 1
 
@@ -39,6 +43,8 @@
     REFUSED = "refused"
     HISTORY_GONE = "history-gone"
     UNREADABLE = "unreadable"
+    ERA_CHANGED = "era-changed"
+    EARLIER_ERA = "earlier-era"
 
 
 class StoreResponse(NamedTuple):
@@ -52,11 +58,14 @@
         Revision of the store at the time of the response.
     has_more : bool
         Whether the list continues after the last item.
+    era : int
+        Era of the store, in which the revisions are ordered.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
     has_more: bool = False
+    era: int = FIRST_ERA
 
 
 def key_target(key: str) -> str:
@@ -94,6 +103,30 @@
     return f"{WATCH_PATH}?{urlencode(fields)}"
 
 
+def parse_era(headers: Headers) -> Result[int, StoreProblem]:
+    """Parse the era that each response of the store states, also one of an error.
+
+    The era rises each time that the store loses acknowledged writes because it is
+    restored from a copy. Revisions are ordered within one era only.
+
+    Parameters
+    ----------
+    headers : sequence of pairs of bytes
+        Lower-case names and values.
+
+    Returns
+    -------
+    Result
+        The era, which is the first one if none is stated, or UNREADABLE.
+    """
+    value = header_value(headers, ERA).strip()
+    if not value:
+        return Ok(FIRST_ERA)
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return Err(StoreProblem.UNREADABLE)
+    return Ok(int(value))
+
+
 def parse_key(status: int, body: bytes) -> Result[StoreResponse, StoreProblem]:
     """Parse the response for one item; a missing item yields no items."""
     if status == NOT_FOUND_STATUS:
