Go on with the other connections if a caller has just reset its own

What callers saw: a request whose body was incomplete at the end of a stop was cut instead of answered with 503, if another caller had closed its connection in the same moment. Cause: the last bytes to a caller that has gone make its machine reset the connection, and the end of output that follows raises OSError (107, not connected). It left the loop over all connections, so that those behind were not refused or closed. As read, not run: in a stop the same exception ends the task of the stop before it lets the process end, from refuse_incomplete as well as from close_timed_out. Change: such a connection is ended at once; the loop goes on.

--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -122,7 +122,10 @@
         self._is_ending = True
         self._idle_until_s = self._server.clock() + LINGER_S
         self._resume_reading()
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:  # The caller has reset the connection.
+            self._transport.abort()
 
     def check_timeout(self, now_s: float) -> None:
         """Close the connection if its timeout has passed.
--- a/tests/gateway/test_server_connection.py
+++ b/tests/gateway/test_server_connection.py
@@ -1,6 +1,7 @@
 """Connections of callers: parsing, the order of responses, and their end."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -234,3 +235,24 @@
         assert all(connection == "close" for _, connection in answers[-100:])
 
     run_scenario(scenario)
+
+
+def test_caller_that_has_just_left_does_not_prevent_the_refusal_of_others():
+    async def scenario():
+        harness = GatewayHarness()
+        await harness.start(FakeTarget("t1"))
+        address = ("127.0.0.1", harness.port)
+        callers = [socket.create_connection(address) for _ in range(6)]
+        leaving, staying = callers[:3], callers[3:]
+        for caller in callers:
+            caller.sendall(encode_request("/book/x", "POST", b"{}")[:-1])
+        await asyncio.sleep(0.1)
+        for caller in leaving:
+            caller.close()
+        harness.http_server.refuse_incomplete()
+        for caller in staying:
+            reader, writer = await asyncio.open_connection(sock=caller)
+            assert (await read_response(reader))[0] == 503
+            writer.close()
+
+    run_scenario(scenario)
