Read no further into a request that has been rejected

What callers saw: the connection of a request that is refused as too large (413) was aborted right after the response if the rest of its body arrived with the refused part, instead of being read out and closed; an abort with unread bytes is a reset, by which the caller may lose the response. The same holds for the 503 of a full buffer for bodies. Cause: the loop over the parsed events went on after the rejection, took the body as that of a request and started to serve it without its header: AttributeError in data_received, upon which the event loop aborts the connection. Change: the loop ends once the connection is ending.

--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -158,7 +158,7 @@
         self._pipelined_bytes = 0
 
     def _process_events(self):
-        while self._task is None:
+        while self._task is None and not self._is_ending:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 self._send_continue_if_expected()
--- a/tests/gateway/test_server_connection.py
+++ b/tests/gateway/test_server_connection.py
@@ -256,3 +256,26 @@
             writer.close()
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_request_whose_large_body_arrives_with_its_header_is_answered(is_chunked):
+    async def scenario():
+        target = FakeTarget("t1")
+        harness = GatewayHarness()
+        await harness.start(target, limits={"max_body_bytes": 100})
+        reader, writer = await connect(harness)
+        request = encode_request("/book/x", "POST", b"x" * 200)
+        if is_chunked:
+            chunk = b"c8\r\n" + b"x" * 200 + b"\r\n0\r\n\r\n"
+            head = encode_request("/book/x", "POST").removesuffix(b"\r\n")
+            request = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+        writer.write(request)
+        status, headers, _ = await read_response(reader)
+        assert (status, headers["connection"]) == (413, "close")
+        assert await reader.read() == b""
+        assert harness.http_server.open_count == 1
+        assert target.runs == []
+        writer.close()
+
+    run_scenario(scenario)
