Accept no request once a stop has ended, also if the stop is short

What callers saw: LOST could follow if the platform ends processes after less than 2.75 s: a request that came after the requests in progress had been answered was still passed on to an upstream, and the process ended under it. Cause: all requests of the first 2.5 s are accepted, whatever the end of the stop. Change: that time ends with the stop; PlannedStop.may_accept decides it as before.

--- a/src/chervilpitch/policy/stopping.py
+++ b/src/chervilpitch/policy/stopping.py
@@ -32,12 +32,20 @@
     False
     >>> stop.may_accept(deadline_at_s=107.0, now_s=104.0)
     True
+
+    A short stop accepts nothing either once it has ended.
+
+    >>> short_stop = PlannedStop(begun_at_s=100.0, duration_s=1.0)
+    >>> short_stop.may_accept(deadline_at_s=120.0, now_s=100.7)
+    True
+    >>> short_stop.may_accept(deadline_at_s=120.0, now_s=100.8)
+    False
     """
 
     def __init__(self, begun_at_s: float, duration_s: float):
         self._drains_at_s = begun_at_s + max(0.0, duration_s - DRAIN_S)
         self._ends_at_s = begun_at_s + duration_s - END_MARGIN_S
-        self._accepts_all_until_s = begun_at_s + ACCEPT_ALL_S
+        self._accepts_all_until_s = min(begun_at_s + ACCEPT_ALL_S, self._ends_at_s)
 
     @property
     def drains_at_s(self) -> float:
@@ -46,7 +54,7 @@
 
     @property
     def ends_at_s(self) -> float:
-        """Monotonic time in seconds at which requests in progress are cut."""
+        """Monotonic time in seconds at which requests in progress are answered."""
         return self._ends_at_s
 
     def may_accept(self, deadline_at_s: float, now_s: float) -> bool:
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -75,3 +75,21 @@
         call.cancel()
 
     run_scenario(scenario)
+
+
+def test_request_after_the_end_of_a_short_stop_is_refused_and_does_not_run():
+    async def scenario():
+        target = FakeTarget("t1")
+        harness = GatewayHarness(Bounds(stop_s=0.5))
+        await harness.start(target)
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        await asyncio.sleep(0.05)
+        drain = await start_drain(harness)
+        await drain
+        assert harness.http_server.open_count == 1
+        writer.write(encode_request("/book/x", "POST", b"{}"))
+        assert (await read_response(reader))[0] == 503
+        assert target.runs == []
+        writer.close()
+
+    run_scenario(scenario)
