--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -122,7 +122,10 @@
         self._is_ending = True
         self._idle_until_s = self._server.clock() + LINGER_S
         self._resume_reading()
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:  # The caller has reset the connection.
+            self._transport.abort()
 
     def check_timeout(self, now_s: float) -> None:
         """Close the connection if its timeout has passed.
@@ -155,7 +158,7 @@
         self._pipelined_bytes = 0
 
     def _process_events(self):
-        while self._task is None:
+        while self._task is None and not self._is_ending:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 self._send_continue_if_expected()
--- a/tests/gateway/test_server_connection.py
+++ b/tests/gateway/test_server_connection.py
@@ -1,6 +1,7 @@
 """Connections of callers: parsing, the order of responses, and their end."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -234,3 +235,47 @@
         assert all(connection == "close" for _, connection in answers[-100:])
 
     run_scenario(scenario)
+
+
+def test_caller_that_has_just_left_does_not_prevent_the_refusal_of_others():
+    async def scenario():
+        harness = GatewayHarness()
+        await harness.start(FakeTarget("t1"))
+        address = ("127.0.0.1", harness.port)
+        callers = [socket.create_connection(address) for _ in range(6)]
+        leaving, staying = callers[:3], callers[3:]
+        for caller in callers:
+            caller.sendall(encode_request("/book/x", "POST", b"{}")[:-1])
+        await asyncio.sleep(0.1)
+        for caller in leaving:
+            caller.close()
+        harness.http_server.refuse_incomplete()
+        for caller in staying:
+            reader, writer = await asyncio.open_connection(sock=caller)
+            assert (await read_response(reader))[0] == 503
+            writer.close()
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_request_whose_large_body_arrives_with_its_header_is_answered(is_chunked):
+    async def scenario():
+        target = FakeTarget("t1")
+        harness = GatewayHarness()
+        await harness.start(target, limits={"max_body_bytes": 100})
+        reader, writer = await connect(harness)
+        request = encode_request("/book/x", "POST", b"x" * 200)
+        if is_chunked:
+            chunk = b"c8\r\n" + b"x" * 200 + b"\r\n0\r\n\r\n"
+            head = encode_request("/book/x", "POST").removesuffix(b"\r\n")
+            request = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+        writer.write(request)
+        status, headers, _ = await read_response(reader)
+        assert (status, headers["connection"]) == (413, "close")
+        assert await reader.read() == b""
+        assert harness.http_server.open_count == 1
+        assert target.runs == []
+        writer.close()
+
+    run_scenario(scenario)
