Take no response of an upstream for whole that was cut in its head

With each upstream ending its response after 17 or 43 bytes of its head, callers got 200 with an empty body, and a booking that must not run twice was recorded as answered.

Cause: the parser of http.client, which urllib3 uses, takes the end of the connection for the end of the line and of the head; the length, which stands later, is then missing, and the body is read until the close. The same holds for a chunk size ("0a" cut after "0" is the last chunk) and for trailers.

Ruled out: the gateway (h11; its tests of the same cuts pass unchanged), bodies cut in their length, resets, a cut before the first byte.

Change: WholeLineReader raises IncompleteRead for a line that ends with the connection; the failure is that of a truncated response, so that only idempotent requests are sent again.

--- a/src/chervilpitch/transport/upstreams.py
+++ b/src/chervilpitch/transport/upstreams.py
@@ -1,5 +1,6 @@
 """HTTP client for upstreams."""
 
+import http.client
 import threading
 from typing import NamedTuple
 
@@ -19,6 +20,7 @@
 from chervilpitch.requests import FailureStage
 
 from .clock import monotonic_s
+from .strict_response import StrictResponse
 
 __all__ = [
     "TruncatedAnswerError",
@@ -170,6 +172,8 @@
     connection then never gets a response, while new connections work.
     """
 
+    response_class = StrictResponse
+
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
         self._reuse_until_s = float("inf")
@@ -279,7 +283,7 @@
     if isinstance(error, (NewConnectionError, ConnectTimeoutError, EmptyPoolError)):
         timed_out = isinstance(error, ConnectTimeoutError)
         return UpstreamFailure(FailureStage.NOT_CONNECTED, timed_out)
-    if isinstance(error, IncompleteRead):
+    if isinstance(error, IncompleteRead) or _is_cut(error):
         return UpstreamFailure(FailureStage.RESPONSE_TRUNCATED, False)
     if isinstance(error, (ReadTimeoutError, TimeoutError)):
         return UpstreamFailure(FailureStage.SENT, True)
@@ -288,5 +292,9 @@
     return UpstreamFailure(FailureStage.SENT, False)
 
 
+def _is_cut(error: Exception) -> bool:
+    return any(isinstance(cause, http.client.IncompleteRead) for cause in error.args)
+
+
 def _is_timeout(error: Exception) -> bool:
     return any(isinstance(cause, TimeoutError) for cause in error.args)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -2,9 +2,9 @@
 
 It runs a request, records its identifier and responds with a body that names the
 request. Faults are read from a file that may be replaced at any time, one per line:
-``slow SECONDS``, ``stall``, ``half``, ``error SHARE``, ``shed``, ``drain``,
-``crash-after-run``. ``GET /ran`` lists all requests that were run; ``GET /health``
-succeeds whatever the faults are.
+``slow SECONDS``, ``stall``, ``half``, ``cut BYTES`` (of the response's head),
+``error SHARE``, ``shed``, ``drain``, ``crash-after-run``. ``GET /ran`` lists all
+requests that were run; ``GET /health`` succeeds whatever the faults are.
 """
 
 import argparse
@@ -20,10 +20,20 @@
 
 STALL_DELAY_S = 30.0
 CHUNK_BYTES = 65_536
+HTTP_REQUEST = "standin.request"
+"""Name in the WSGI environment of the server's request."""
 
 
 class ConnectionCutError(Exception):
-    """Raised in the middle of a body to close the connection."""
+    """Raised in the middle of a response to close the connection."""
+
+
+class RequestGateway(wsgi.Gateway_10):
+    """WSGI gateway whose environment also holds the server's request."""
+
+    def get_environ(self):
+        """Return the WSGI environment."""
+        return super().get_environ() | {HTTP_REQUEST: self.req}
 
 
 def parse_faults(text):
@@ -104,6 +114,8 @@
         wanted_bytes = int(environ.get("HTTP_X_ANSWER_BYTES", "0"))
         body += b" " * max(0, wanted_bytes - len(body))
         headers = [("X-Draining", "yes")] if "drain" in faults else []
+        if "cut" in faults:
+            _cut_head(environ[HTTP_REQUEST], body, int(faults["cut"]))
         if "half" in faults:
             return _truncated_response(start_response, body)
         return _respond(start_response, "200 OK", body, headers)
@@ -129,6 +141,14 @@
     raise ConnectionCutError
 
 
+def _cut_head(request, body, sent_bytes):
+    """Send the start of the head of a response and close the connection."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n"
+    request.conn.wfile.write((head % len(body))[:sent_bytes])
+    request.sent_headers = True
+    raise ConnectionCutError
+
+
 def _count_body_bytes(stream):
     length = 0
     while chunk := stream.read(CHUNK_BYTES):
@@ -150,6 +170,7 @@
         arguments.name, arguments.slots, arguments.faults, arguments.service_s
     )
     server = wsgi.Server((host, int(port)), application, numthreads=32)
+    server.gateway = RequestGateway
     server.safe_start()
 
 
--- a/tests/whole/test_upstream_faults.py
+++ b/tests/whole/test_upstream_faults.py
@@ -48,6 +48,27 @@
         assert json.loads(response.body)["upstream"] != "desk-0"
 
 
+@pytest.mark.parametrize("sent_bytes", [1, 17, 43, 60])
+def test_response_cut_in_its_head_is_not_forwarded_as_complete(
+    fleet, caller, sent_bytes
+):
+    set_all_faults(fleet, f"cut {sent_bytes}")
+    response = caller.send(first_instance_address(fleet), "/catalogue/1")
+    assert (response.status, response.refusal) == (502, "upstream-failed")
+
+
+def test_booking_with_a_response_cut_in_its_head_is_unknown_and_not_rerun(
+    fleet, caller
+):
+    set_all_faults(fleet, "cut 43")
+    runs_before = count_runs(fleet)
+    first, ticket = send_booking(fleet, caller)
+    set_all_faults(fleet, "")
+    repeated, _ = send_booking(fleet, caller, ticket)
+    assert first.run == repeated.run == "unknown"
+    assert count_runs(fleet) == runs_before + 1
+
+
 def test_large_truncated_response_breaks_the_connection(fleet, caller):
     set_all_faults(fleet, "half")
     with pytest.raises(urllib3.exceptions.HTTPError):
