Skip interim responses of upstreams before the final one

Found with the tests of cut responses: on the first interface (serve) callers got "103 Early Hints" as the response, and the final one stayed on the connection.

Cause: http.client skips status 100 only; any other interim status counts as final.

Change: the statuses 102 to 199 are skipped, at most 20 before one response.

--- a/src/chervilpitch/transport/strict_response.py
+++ b/src/chervilpitch/transport/strict_response.py
@@ -1,10 +1,14 @@
-"""Parsing of upstreams' responses that refuses cut lines."""
+"""Parsing of upstreams' responses that refuses cut lines and skips interim ones."""
 
 import http.client
 import io
 
 __all__ = ["StrictResponse"]
 
+MAX_INTERIM_RESPONSES = 20
+INTERIM_STATUSES = range(102, 200)
+"""Statuses announced before a response, but for 100, which the parent class skips."""
+
 
 class WholeLineReader(io.BufferedReader):
     """Reader whose lines are whole.
@@ -44,3 +48,20 @@
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
         self.fp = WholeLineReader(self.fp.detach())
+
+    def begin(self) -> None:
+        """Read the head of the final response.
+
+        Raises
+        ------
+        http.client.HTTPException
+            The head is cut or malformed, or too many interim responses precede it.
+        """
+        super().begin()
+        interim_count = 0
+        while self.status in INTERIM_STATUSES:
+            interim_count += 1
+            if interim_count > MAX_INTERIM_RESPONSES:
+                raise http.client.HTTPException("too many interim responses")
+            self.headers = None
+            super().begin()
--- a/tests/transport/test_cut_responses.py
+++ b/tests/transport/test_cut_responses.py
@@ -26,7 +26,6 @@
 CASES = [
     (framing, method)
     for framing in Framing
-    if framing is not Framing.INTERIM
     for method in ("GET", "HEAD", "POST")
     if method == "GET" or framing in (Framing.LENGTH, Framing.CHUNKED)
 ]
@@ -41,12 +40,20 @@
     upstream = FakeTarget("t1", Behaviour.CUT)
     asyncio.run_coroutine_threadsafe(upstream.start(), loop).result()
     yield upstream
-    loop.call_soon_threadsafe(upstream.stop)
+    asyncio.run_coroutine_threadsafe(stop(upstream), loop).result()
     loop.call_soon_threadsafe(loop.stop)
     thread.join()
     loop.close()
 
 
+async def stop(upstream):
+    upstream.stop()
+    connections = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in connections:
+        task.cancel()
+    await asyncio.gather(*connections, return_exceptions=True)
+
+
 def request_for(target, cut, method, is_new=False):
     headers = [
         ("Host", "a"),
@@ -115,3 +122,19 @@
     cut = ResponseCut(framing, len(whole), False)
     body = b"" if method == "HEAD" else framing.body
     assert exchange(target, cut, method, True) == (framing.status, body)
+
+
+def test_response_after_an_interim_one_is_not_left_for_the_next_request(target):
+    client = UpstreamClient()
+    whole = build_response(Framing.INTERIM, REQUEST_ID)
+    cut = ResponseCut(Framing.INTERIM, len(whole), False)
+    for _ in range(3):
+        assert read_response(client, request_for(target, cut, "GET")) == (200, BODY)
+    client.close_unused(frozenset())
+
+
+def test_interim_responses_without_end_are_given_up(target):
+    client = UpstreamClient()
+    target.behaviour = Behaviour.ENDLESS_INFORMATIONAL
+    assert read_response(client, request_for(target, None, "GET", True)) is None
+    target.behaviour = Behaviour.CUT
