--- a/src/chervilpitch/observe/agreement.py
+++ b/src/chervilpitch/observe/agreement.py
@@ -54,7 +54,8 @@
     Parameters
     ----------
     version, revision : int
-        The configuration.
+        The configuration, and the highest revision at which one of them read it. It
+        has several if it was written again after the store was restored from a copy.
     instances : tuple of str
         Names of the instances, in order.
     max_proof_age_s : float
@@ -144,16 +145,17 @@
     (('b',), ('b',))
     """
     known = sorted(instances)
-    by_configuration: dict[tuple[int, int], list[InstanceVersions]] = {}
+    by_version: dict[int, list[InstanceVersions]] = {}
     for item in known:
-        by_configuration.setdefault((item.version, item.revision), []).append(item)
+        by_version.setdefault(item.version, []).append(item)
     groups = tuple(
         VersionGroup(
-            *configuration,
+            version,
+            max(item.revision for item in items),
             tuple(item.instance for item in items),
             max(item.proof_age_s for item in items),
         )
-        for configuration, items in sorted(by_configuration.items(), reverse=True)
+        for version, items in sorted(by_version.items(), reverse=True)
     )
     unread = tuple(item.instance for item in known if item.has_unread_settings)
     return Agreement(groups, unread)
--- a/tests/observe/test_agreement.py
+++ b/tests/observe/test_agreement.py
@@ -55,6 +55,17 @@
     assert not agreement.is_complete
 
 
+def test_version_written_again_at_another_revision_is_one_configuration():
+    agreement = compare_versions(
+        [
+            InstanceVersions("a", 9, 40, 0.2, "d1", "d1"),
+            InstanceVersions("b", 9, 39, 0.2, "d1", "d1"),
+        ]
+    )
+    assert [group.instances for group in agreement.groups] == [("a", "b")]
+    assert agreement.is_complete
+
+
 def test_instances_agree_if_they_have_one_configuration_and_read_their_settings():
     versions = InstanceVersions("a", 9, 90, 0.2, "d1", "d1")
     assert compare_versions([versions]).is_complete
