Keep knowing that a version was written again; show the store's era in the metrics

A reader that listed the configuration again within 2 s of the new era forgot that it had seen it written, so that its proofs stopped until then. The new test fails without the change. The metric is chervilpitch_state{name="store_era"}.

--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -221,6 +221,7 @@
             {
                 "configuration_version": self._state.configuration.version,
                 "configuration_revision": self._state.configuration_revision,
+                "store_era": self._state.store_era,
                 "in_progress": self._state.in_progress,
                 "instances_alive": len(self._members.alive(now_s)),
                 "proof_age_seconds": self._state.freshness.age_s(now_s),
--- a/src/chervilpitch/policy/store_era.py
+++ b/src/chervilpitch/policy/store_era.py
@@ -74,10 +74,11 @@
         version : int
             Its version.
         is_rewritten : bool
-            Whether it is known to have been written in this era.
+            Whether it is known to have been written in this era; this holds for later
+            versions too.
         """
         self._shown_version = version
-        self._is_rewritten = is_rewritten
+        self._is_rewritten = self._is_rewritten or is_rewritten
 
     def proves(self, version: int, now_s: float) -> bool:
         """Return whether the store shows that no version is newer than the given one.
--- a/tests/policy/test_store_era.py
+++ b/tests/policy/test_store_era.py
@@ -124,6 +124,15 @@
     assert era.proves(14, 10.0 + SETTLED_S)
 
 
+def test_version_written_again_still_proves_when_it_is_listed_later():
+    era = StoreEra()
+    era.observe(1, 0.0)
+    era.observe(2, 10.0)
+    era.record_shown(14, True)
+    era.record_shown(14, False)
+    assert era.proves(14, 10.5)
+
+
 def test_second_restoration_begins_anew():
     era = StoreEra()
     era.observe(1, 0.0)
