Answer requests that were read behind the last one in a stop

Change: a response is the last one in a stop only if nothing was read behind its request. A caller that never ceases to send ahead keeps its connection to the end of the stop and is refused then. Tests: two requests around the begin of a stop, and two of which the first lasts beyond its end: before the change the second answer was missing in both (IncompleteReadError, 0 bytes), now they are 200, 200 and 502, 503, and of the latter only the first ran.

--- a/src/chervilpitch/gateway/draining.py
+++ b/src/chervilpitch/gateway/draining.py
@@ -28,7 +28,7 @@
     stop : PlannedStop
         The stop.
     server : HttpServer
-        Connections of callers; each closes after its next response.
+        Connections of callers; each closes once the requests read from it are answered.
     listener : asyncio.Server
         Listener that accepts them; closed first.
     clock : callable
--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -113,7 +113,7 @@
         return len(self._open)
 
     def close_after_responses(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection once the requests read from it are answered."""
         self._is_closing = True
 
     def close_idle(self) -> None:
--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -228,7 +228,7 @@
 
     def _send(self, response):
         self._head = None
-        is_last = self._server.is_closing or self._http.their_state is not h11.DONE
+        is_last = self._is_last_response()
         try:
             self._write_response(response, is_last)
         except h11.LocalProtocolError:
@@ -246,6 +246,16 @@
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
 
+    def _is_last_response(self) -> bool:
+        """Return whether the connection ends after the response that is due.
+
+        In a stop it does, but not before what was read behind the request is served.
+        """
+        if self._http.their_state is not h11.DONE:
+            return True
+        bytes_behind, _ = self._http.trailing_data
+        return self._server.is_closing and not bytes_behind
+
     def _write_response(self, response, is_last):
         headers = [*response.headers, (b"Content-Length", b"%d" % len(response.body))]
         if is_last:
--- a/tests/gateway/test_server_connection.py
+++ b/tests/gateway/test_server_connection.py
@@ -279,3 +279,24 @@
         writer.close()
 
     run_scenario(scenario)
+
+
+def test_request_behind_the_one_in_progress_at_a_stop_is_answered_too():
+    async def scenario():
+        target = FakeTarget("t1", service_time_s=0.3)
+        harness = GatewayHarness()
+        await harness.start(target)
+        reader, writer = await connect(harness)
+        for request_id in ("first", "second"):
+            writer.write(
+                encode_request("/book/x", "POST", b"{}", request_id=request_id)
+            )
+        await asyncio.sleep(0.1)
+        harness.http_server.close_after_responses()
+        answers = [await read_response(reader) for _ in range(2)]
+        assert [status for status, _, _ in answers] == [200, 200]
+        assert answers[1][1]["connection"] == "close"
+        assert await reader.read() == b""
+        writer.close()
+
+    run_scenario(scenario)
--- a/tests/whole/test_gateway_stop.py
+++ b/tests/whole/test_gateway_stop.py
@@ -153,3 +153,31 @@
             assert await instance.process.wait() == 0
 
     run_scenario(scenario)
+
+
+def test_request_behind_one_that_lasts_beyond_the_end_of_a_stop_is_refused(tmp_path):
+    async def scenario():
+        async with GatewayFleet(tmp_path, f"grace={STOP_S}s,revoke=5000ms") as fleet:
+            target = FakeTarget("t1", service_time_s=LONG_WAIT_MS / 1000)
+            instance = await start_instance(fleet, 1, target, book_timeout="20s")
+            reader, writer = await asyncio.open_connection(instance.host, CALLERS_PORT)
+            for request_id in ("long", "behind"):
+                writer.write(
+                    encode_request(
+                        "/book/x",
+                        "POST",
+                        b"{}",
+                        request_id=request_id,
+                        wait_ms=LONG_WAIT_MS,
+                    )
+                )
+            while not target.runs:
+                await asyncio.sleep(0.01)
+            instance.process.send_signal(signal.SIGTERM)
+            statuses = [(await read_response(reader))[0] for _ in range(2)]
+            assert statuses == [502, 503]
+            writer.close()
+            assert await instance.process.wait() == 0
+            assert ids_run_by(target) == ["long"]
+
+    run_scenario(scenario)
