--- a/tests/whole/test_gateway_stop.py
+++ b/tests/whole/test_gateway_stop.py
@@ -181,3 +181,50 @@
             assert ids_run_by(target) == ["long"]
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("stop_s", [0.5, 1.0, 2.0])
+def test_signals_that_come_again_do_not_change_a_short_stop(tmp_path, stop_s):
+    async def scenario():
+        async with GatewayFleet(tmp_path, f"grace={stop_s}s,revoke=5000ms") as fleet:
+            target = FakeTarget("t1")
+            instance = await start_instance(fleet, 1, target)
+            target.service_time_s = 0.15
+            async with kept_connection(instance) as connection:
+                call = asyncio.create_task(connection.send("in-progress"))
+                while not target.runs:
+                    await asyncio.sleep(0.01)
+                for number in (
+                    signal.SIGTERM,
+                    signal.SIGHUP,
+                    signal.SIGINT,
+                    signal.SIGTERM,
+                ):
+                    instance.process.send_signal(number)
+                    await asyncio.sleep(0.01)
+                assert await call == 200
+            async with asyncio.timeout(stop_s):
+                assert await instance.process.wait() == 0
+
+    run_scenario(scenario)
+
+
+def test_request_that_comes_while_a_stopping_process_is_suspended_is_not_cut(tmp_path):
+    async def scenario():
+        async with GatewayFleet(tmp_path, f"grace={STOP_S}s,revoke=5000ms") as fleet:
+            target = FakeTarget("t1")
+            instance = await start_instance(fleet, 1, target)
+            async with kept_connection(instance) as connection:
+                assert await connection.send("first") == 200
+                instance.process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.2)
+                instance.process.send_signal(signal.SIGSTOP)
+                call = asyncio.create_task(connection.send("suspended"))
+                await asyncio.sleep(STOP_S)
+                instance.process.send_signal(signal.SIGCONT)
+                status = await call
+            assert status in (200, 503)
+            assert (status == 200) == ("suspended" in ids_run_by(target))
+            assert await instance.process.wait() == 0
+
+    run_scenario(scenario)
