Let the last check of a drain not outlast the stop

What callers saw: the answers at the end of a stop were written up to 0.1 s late, of the 0.25 s that are left before the platform kills the process; 0.1 s of it are for writing them. Cause: the drain always slept a whole check interval, also if the stop ended sooner. Change: it sleeps to the end of the stop at most.

--- a/src/chervilpitch/gateway/draining.py
+++ b/src/chervilpitch/gateway/draining.py
@@ -35,8 +35,8 @@
         Returns monotonic seconds.
     """
     listener.close()
-    while clock() < stop.ends_at_s:
-        await asyncio.sleep(CHECK_INTERVAL_S)
+    while (remaining_s := stop.ends_at_s - clock()) > 0:
+        await asyncio.sleep(min(CHECK_INTERVAL_S, remaining_s))
         server.close_idle()
         server.close_timed_out()
         if not server.open_count:
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -93,3 +93,18 @@
         writer.close()
 
     run_scenario(scenario)
+
+
+def test_drain_does_not_outlast_the_stop_by_a_check():
+    async def scenario():
+        target = FakeTarget("t1", service_time_s=60)
+        harness = GatewayHarness(Bounds(stop_s=0.36))
+        await harness.start(target)
+        call = asyncio.create_task(call_after(harness, 0.0, "hangs"))
+        await asyncio.sleep(0.2)
+        drain = await start_drain(harness)
+        await drain
+        assert 0 <= monotonic_s() - harness.state.stop.ends_at_s < 0.05
+        call.cancel()
+
+    run_scenario(scenario)
