--- a/src/chervilpitch/gateway/draining.py
+++ b/src/chervilpitch/gateway/draining.py
@@ -28,15 +28,15 @@
     stop : PlannedStop
         The stop.
     server : HttpServer
-        Connections of callers; each closes after its next response.
+        Connections of callers; each closes once the requests read from it are answered.
     listener : asyncio.Server
         Listener that accepts them; closed first.
     clock : callable
         Returns monotonic seconds.
     """
     listener.close()
-    while clock() < stop.ends_at_s:
-        await asyncio.sleep(CHECK_INTERVAL_S)
+    while (remaining_s := stop.ends_at_s - clock()) > 0:
+        await asyncio.sleep(min(CHECK_INTERVAL_S, remaining_s))
         server.close_idle()
         server.close_timed_out()
         if not server.open_count:
