Read the configuration again where the store's watch did not show the version in force

A reader counts a proof only if the store showed it the version in force. One that knows a newer version from another instance, and whose watch missed it, would never prove anything again. It now reads the configuration anew after such a watch. The new test fails without that (proof 3.0 s old after 3.0 s). The line about an older configuration is written once for each version shown.

--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -123,6 +123,11 @@
         """The newest era of the store that is known."""
         return self._store_era.number
 
+    @property
+    def is_shown_by_store(self) -> bool:
+        """Whether the store last showed the configuration in force to this instance."""
+        return self._store_era.shows(self._configuration.version)
+
     @property
     def configuration_item(self) -> StoreItem | None:
         """The configuration in force as stored; None before the first one."""
@@ -265,8 +270,9 @@
         is_same_version = version == self._configuration.version
         is_other_item = item.revision != self.configuration_revision
         is_rewritten = is_change or (is_same_version and is_other_item)
+        is_repeated = version == self._store_era.shown_version
         self._store_era.record_shown(version, is_rewritten)
-        if version < self._configuration.version:
+        if version < self._configuration.version and not is_repeated:
             log.warning(
                 "Store shows an older configuration; kept the one in force.",
                 version=version,
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -188,6 +188,8 @@
         )
         proved_at_s = started_at_s - WATCH_MISS_WINDOW_S
         self._state.apply_configuration_items(changes.items, proved_at_s, True)
+        if not self._state.is_shown_by_store:
+            return None
         return StorePosition(changes.era, changes.revision)
 
     async def _read_entries(self, connection, position) -> StorePosition:
--- a/src/chervilpitch/policy/store_era.py
+++ b/src/chervilpitch/policy/store_era.py
@@ -36,6 +36,11 @@
         """The newest era known."""
         return FIRST_ERA if self._number is None else self._number
 
+    @property
+    def shown_version(self) -> int | None:
+        """Version that the store last showed; None before the first one."""
+        return self._shown_version
+
     @property
     def changed_at_s(self) -> float:
         """Monotonic time in seconds of the latest change; -inf before the first."""
@@ -80,6 +85,18 @@
         self._shown_version = version
         self._is_rewritten = self._is_rewritten or is_rewritten
 
+    def shows(self, version: int) -> bool:
+        """Return whether the store last showed the given version or a newer one.
+
+        This is assumed as long as it has shown nothing in the first era known.
+
+        Parameters
+        ----------
+        version : int
+            Version of the configuration in force.
+        """
+        return self._shown_version is None or self._shown_version >= version
+
     def proves(self, version: int, now_s: float) -> bool:
         """Return whether the store shows that no version is newer than the given one.
 
@@ -92,6 +109,6 @@
         """
         if self._shown_version is None:
             return True
-        if self._shown_version < version:
+        if not self.shows(version):
             return False
         return self._is_rewritten or now_s - self._changed_at_s >= SETTLING_S
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -1,10 +1,12 @@
 """A store that comes back from an older copy, read by one instance."""
 
 import asyncio
+import base64
 from contextlib import asynccontextmanager
 
 from chervilpitch.gateway.gossip import Gossip
 from chervilpitch.gateway.store_reader import StoreReader
+from chervilpitch.model import StoreItem
 from chervilpitch.platform import CONFIGURATION_KEY, ENTRY_PREFIX
 from chervilpitch.transport.clock import monotonic_s
 from standins.store import FakeStore
@@ -257,3 +259,23 @@
             assert harness.state.entry_items.era == 2
 
     asyncio.run(scenario())
+
+
+def test_reader_whose_watch_missed_the_version_in_force_reads_it_again():
+    """Its proofs would stop for good, as the store last showed an older version."""
+
+    async def scenario():
+        harness = RestoredStoreHarness()
+        harness.publish(1)
+        async with harness.reading():
+            await harness.wait_for_version(1)
+            harness.publish(2)
+            missed = harness.store.history.pop()
+            content = base64.b64decode(missed["value"])
+            item = StoreItem(CONFIGURATION_KEY, content, missed["revision"])
+            harness.state.apply_relayed_configuration((item,), 2, monotonic_s())
+            assert harness.state.configuration.version == 2
+            await asyncio.sleep(3.0)
+            assert harness.state.freshness.age_s(monotonic_s()) < 2.5
+
+    asyncio.run(scenario())
