Refuse a configuration that does not list its hosts

The platform states that the item holds the configuration in full.

Measured: the example found fails before and passes after when it is replayed; a run of all 5,000 examples of this test was ended after 30 s without a failure.

--- a/src/chervilpitch/platform/configuration.py
+++ b/src/chervilpitch/platform/configuration.py
@@ -51,7 +51,7 @@
         version=_count(body["version"]),
         routes=tuple(
             _route(_text(entry["host"]).lower(), route, bool(accounts))
-            for entry in body.get("virtual_hosts") or []
+            for entry in body["virtual_hosts"] or []
             for route in entry.get("path_routes") or []
         ),
         accounts={item["name"]: _account(item) for item in accounts},
--- a/tests/gateway/test_odd_configuration.py
+++ b/tests/gateway/test_odd_configuration.py
@@ -25,6 +25,7 @@
     *ODD_CONTENTS[:12],
     changed(lambda body, account, route: body.update(version=float("inf"))),
     changed(lambda body, account, route: body.update(version=10**400)),
+    changed(lambda body, account, route: body.pop("virtual_hosts")),
     changed(lambda body, account, route: body.update(version="x" * 100_000)),
     changed(lambda body, account, route: account.update(rate_per_s=float("inf"))),
     changed(lambda body, account, route: account.update(burst=10**400)),
