--- a/src/chervilpitch/platform/configuration.py
+++ b/src/chervilpitch/platform/configuration.py
@@ -52,7 +52,7 @@
         routes=tuple(
             _route(_text(entry["host"]).lower(), route, bool(accounts))
             for entry in _list(body["virtual_hosts"])
-            for route in _list(entry["path_routes"])
+            for route in _list(entry.get("path_routes") or [])
         ),
         accounts={item["name"]: _account(item) for item in accounts},
         account_of_key={
