End a process whose stop fails or begins before its listeners are open

What callers and operators saw: nothing on record; found in the review of the stop. A process that got SIGTERM while it opened its listeners, or in which draining raised an exception, did not end by itself: it stayed, not ready, until the platform killed it and cut what was in progress. Cause: the stop ran in a task of its own whose failure nothing handled, and that could run before the listener existed. Change: the main coroutine drains once the listeners are open; an exception is logged, requests go on to the end of the stop and are answered then.

--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -114,11 +114,10 @@
         )
         self._listener = None
         self._tasks: list[asyncio.Task] = []
-        self._stopped = None
+        self._stop_begun = asyncio.Event()
 
     async def run(self) -> None:
         """Serve requests until a stop, begun by SIGTERM or SIGINT, has ended."""
-        self._stopped = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
         loop.add_signal_handler(signal.SIGINT, self._begin_stop)
@@ -126,7 +125,8 @@
         await self._listen(loop)
         log.info("Instance started.", instance=self._settings.instance.name)
         self._start_tasks()
-        await self._stopped.wait()
+        await self._stop_begun.wait()
+        await self._stop()
         log.info("Instance stopped.", **self._work_fields())
 
     async def _listen(self, loop):
@@ -253,7 +253,7 @@
         self._state.begin_leaving()
         self._gossip.announce_leaving()
         self._caller_server.close_after_responses()
-        self._tasks.append(asyncio.create_task(self._stop()))
+        self._stop_begun.set()
 
     def _work_fields(self) -> dict[str, int]:
         """Return the amount of unfinished work, for log lines about a stop."""
@@ -263,14 +263,23 @@
         }
 
     async def _stop(self):
-        stop = self._state.stop
-        await asyncio.sleep(max(0.0, stop.drains_at_s - monotonic_s()))
-        log.info("New connections are no longer accepted.", **self._work_fields())
-        await drain_connections(stop, self._caller_server, self._listener, monotonic_s)
+        try:
+            await self._drain()
+        except Exception:
+            log.exception("Draining failed; requests may go on until the stop ends.")
+            await self._wait_until(self._state.stop.ends_at_s)
         if self._caller_server.open_count:
             await self._end_requests()
         self._logs.drain()
-        self._stopped.set()
+
+    async def _drain(self):
+        stop = self._state.stop
+        await self._wait_until(stop.drains_at_s)
+        log.info("New connections are no longer accepted.", **self._work_fields())
+        await drain_connections(stop, self._caller_server, self._listener, monotonic_s)
+
+    async def _wait_until(self, at_s):
+        await asyncio.sleep(max(0.0, at_s - monotonic_s()))
 
     async def _end_requests(self):
         """Respond to what is still in progress rather than cut it."""
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -11,7 +11,7 @@
 from .store import FakeStore
 from .target import FakeTarget
 
-__all__ = ["GatewayFleet", "GatewayProcess", "fetch"]
+__all__ = ["GatewayFleet", "GatewayProcess", "fetch", "settings_text"]
 
 READY_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
@@ -86,6 +86,34 @@
     return f"127.{1 + process_id % 250}.{process_id // 250 % 250}"
 
 
+def settings_text(number, store, bounds):
+    """Return the settings of an instance on a loopback address of this process.
+
+    Parameters
+    ----------
+    number : int
+        Number of the instance, which its name and its address end with.
+    store : str
+        Host and port of the store.
+    bounds : str
+        Bounds in the format of the platform.
+    """
+    network = loopback_prefix(os.getpid())
+    return SETTINGS.format(
+        name=f"front-{number}",
+        host=f"{network}.{number}",
+        network=network,
+        domain="n1" if number % 2 else "n2",
+        callers=CALLERS_PORT,
+        ready=READY_PORT,
+        directory=DIRECTORY_PORT,
+        peers=PEERS_PORT,
+        metrics=METRICS_PORT,
+        store=store,
+        bounds=bounds,
+    )
+
+
 class GatewayFleet:
     """A store, upstreams and instances that run until the context is left.
 
@@ -100,7 +128,6 @@
     def __init__(self, directory, bounds="drain=2000ms,grace=3s,revoke=5000ms"):
         self._directory = pathlib.Path(directory)
         self._bounds = bounds
-        self._loopback_prefix = loopback_prefix(os.getpid())
         self.store = FakeStore()
         self.targets = []
         self.instances = {}
@@ -125,23 +152,9 @@
 
     async def start_instance(self, number):
         """Start an instance and return it."""
-        name, host = f"front-{number}", f"{self._loopback_prefix}.{number}"
+        name, host = f"front-{number}", f"{loopback_prefix(os.getpid())}.{number}"
         path = self._directory / f"{name}.ini"
-        path.write_text(
-            SETTINGS.format(
-                name=name,
-                host=host,
-                network=self._loopback_prefix,
-                domain="n1" if number % 2 else "n2",
-                callers=CALLERS_PORT,
-                ready=READY_PORT,
-                directory=DIRECTORY_PORT,
-                peers=PEERS_PORT,
-                metrics=METRICS_PORT,
-                store=self.store.address,
-                bounds=self._bounds,
-            )
-        )
+        path.write_text(settings_text(number, self.store.address, self._bounds))
         log = self._directory / f"{name}.log"
         with log.open("ab") as output:
             process = await asyncio.create_subprocess_exec(
