Don't take a copy's version for one written again after a second restoration

Callers could use a key up to 2 s longer than the proof allows: a version that withdraws it may be lost with the second restoration and unknown to the instance.

Cause: a listed version counts as written again if its revision is not that of the item in force. That item keeps the revision of the era in which it was first read. Once a version was written again in the second era, a copy of that era has another revision too, and in the third era it was a proof at once.

Change: revisions of one version are compared only in the second era of the store. In later ones a version counts as written again if a watch shows it, or the proof waits for 2 s.

Before, the new test printed 'assert 0.0 == 1.0' (age of the proof in seconds after the second restoration); with the change tests/gateway/test_restored_region.py and tests/policy/test_store_era.py pass (32 passed).

--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -274,7 +274,8 @@
     def _record_shown(self, version, item, is_change):
         is_same_version = version == self._configuration.version
         is_other_item = item.revision != self.configuration_revision
-        is_rewritten = is_change or (is_same_version and is_other_item)
+        is_comparable = is_same_version and self._store_era.is_restored_once
+        is_rewritten = is_change or (is_comparable and is_other_item)
         is_repeated = version == self._store_era.shown_version
         self._store_era.record_shown(version, is_rewritten)
         if version < self._configuration.version and not is_repeated:
--- a/src/chervilpitch/policy/store_era.py
+++ b/src/chervilpitch/policy/store_era.py
@@ -4,6 +4,7 @@
 
 __all__ = ["StoreEra"]
 
+ORIGINAL_ERA = 1
 SETTLING_S = 2.0
 
 
@@ -46,6 +47,14 @@
         """Monotonic time in seconds of the latest change; -inf before the first."""
         return self._changed_at_s
 
+    @property
+    def is_restored_once(self) -> bool:
+        """Whether the store was restored exactly once since it was created.
+
+        Only then has each version a single revision in all copies.
+        """
+        return self._number == ORIGINAL_ERA + 1
+
     def observe(self, number: int, now_s: float) -> bool:
         """Record an era that the store or another instance states.
 
--- a/tests/gateway/test_restored_region.py
+++ b/tests/gateway/test_restored_region.py
@@ -189,3 +189,20 @@
             assert state.configuration.version == version
             assert state.entry_items.era == era
             assert names(state) == {f"t{era}"}
+
+
+def test_version_written_again_before_a_second_restoration_may_be_a_copy():
+    """The revision in force is that of the first era, and the copy has another."""
+    network, state, *_ = reader_and_requester()
+    started_at_s = network.now_s
+    state.observe_era(1)
+    apply_version(state, 14, 40, started_at_s)
+    state.observe_era(2)
+    apply_version(state, 14, 39, started_at_s + 1.0)
+    assert state.freshness.age_s(started_at_s + 1.0) == 0.0
+    state.observe_era(3)
+    apply_version(state, 14, 39, started_at_s + 2.0)
+    assert state.freshness.age_s(started_at_s + 2.0) == 1.0
+    network.now_s += 2.0
+    apply_version(state, 14, 39, started_at_s + 2.0)
+    assert state.freshness.age_s(started_at_s + 2.0) == 0.0
