Split what a state answer holds; name the signal that ends requests; private _is_active

No change of behaviour: _build_answer decides in _entries_to_send which entries an instance lacks, Forwarder's futures are named for what they signal, and the version of builds that state none has a name.

--- a/src/chervilpitch/gateway/forward.py
+++ b/src/chervilpitch/gateway/forward.py
@@ -51,8 +51,8 @@
 class _Progress:
     """State of the attempts to serve one request."""
 
-    def __init__(self, ended: asyncio.Future) -> None:
-        self.ended = ended
+    def __init__(self, end_signal: asyncio.Future) -> None:
+        self.end_signal = end_signal
         self.running: dict[asyncio.Task, Choice] = {}
         self.tried_upstreams: list[str] = []
         self.sent_count = 0
@@ -77,23 +77,23 @@
         self._state = state
         self._runner = AttemptRunner(state, pool, clock)
         self._clock = clock
-        self._ended: set[asyncio.Future] = set()
+        self._end_signals: set[asyncio.Future] = set()
 
     def end_requests(self) -> None:
         """Respond to all requests in progress now, as the instance is stopping."""
-        for ended in self._ended:
-            ended.set_result(None)
-        self._ended.clear()
+        for signal in self._end_signals:
+            signal.set_result(None)
+        self._end_signals.clear()
 
     async def forward(self, outgoing: OutgoingRequest) -> ForwardResult:
         """Return the response to deliver, or why there is none."""
         self._state.retry_budget(outgoing.service).count_request(self._clock())
         progress = _Progress(asyncio.get_running_loop().create_future())
-        self._ended.add(progress.ended)
+        self._end_signals.add(progress.end_signal)
         try:
             return await self._run_attempts(outgoing, progress)
         finally:
-            self._ended.discard(progress.ended)
+            self._end_signals.discard(progress.end_signal)
             for task in progress.running:
                 task.cancel()
 
@@ -103,17 +103,17 @@
             remaining_s = outgoing.deadline_at_s - self._clock()
             if remaining_s <= 0:
                 return self._unfinished_result(progress, RefusalKind.DEADLINE_EXCEEDED)
-            if progress.ended.done():
+            if progress.end_signal.done():
                 return self._unfinished_result(progress, RefusalKind.INSTANCE_STOPPING)
             timeout_s = remaining_s
             if self._may_hedge(outgoing, progress):
                 timeout_s = min(remaining_s, self._hedge_check_s(outgoing))
             done, _ = await asyncio.wait(
-                (*progress.running, progress.ended),
+                (*progress.running, progress.end_signal),
                 timeout=timeout_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            for task in done - {progress.ended}:
+            for task in done - {progress.end_signal}:
                 choice = progress.running.pop(task)
                 final_result = self._handle_result(
                     outgoing, progress, choice, task.result()
--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -79,15 +79,6 @@
         """Close the connection, because a half-closed one counts as disconnected."""
         return False
 
-    def is_active(self, now_s: float) -> bool:
-        """Return whether a request is being received or served, or is on its way.
-
-        A caller that has just connected has mostly sent its first request already.
-        """
-        if self._task is not None or self._head is not None:
-            return True
-        return not self._is_ending and now_s < self._first_request_until_s
-
     def close_if_idle(self, now_s: float) -> None:
         """Close if no request is in progress at this call and the one before.
 
@@ -98,7 +89,7 @@
         now_s : float
             Monotonic time in seconds.
         """
-        if self._is_ending or self.is_active(now_s):
+        if self._is_ending or self._is_active(now_s):
             return
         if self._is_found_idle:
             self.close()
@@ -114,6 +105,15 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _is_active(self, now_s: float) -> bool:
+        """Return whether a request is being received or served, or is on its way.
+
+        A caller that has just connected has mostly sent its first request already.
+        """
+        if self._task is not None or self._head is not None:
+            return True
+        return not self._is_ending and now_s < self._first_request_until_s
+
     def _end(self):
         """End the connection after the last response, once the caller has closed it.
 
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -37,6 +37,8 @@
 
 RATE_EXCESS_FRACTION = 0.4
 RATE_SLACK_FRACTION = 0.4
+UNSTATED_VERSION = 0
+"""Version in answers of builds that state none."""
 
 
 class GatewayState:
@@ -263,7 +265,7 @@
             configuration = self._decode_configuration(item)
             if configuration is not None:
                 self._apply_configuration(configuration, item)
-        if version in (0, self._configuration.version):
+        if version in (UNSTATED_VERSION, self._configuration.version):
             self._add_proof(proved_at_s)
 
     def _add_proof(self, proved_at_s):
--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -3,6 +3,7 @@
 import random
 from typing import NamedTuple
 
+from chervilpitch.model import StoreItem
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
     READER_COUNT,
@@ -51,6 +52,24 @@
     asked_at_s: float
 
 
+class _SentEntries(NamedTuple):
+    """Entries of upstreams in an answer.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store that they reach up to; 0 for no entries.
+    items : tuple of StoreItem
+        The entries that have changed, or all of them.
+    is_complete : bool
+        Whether the items are all entries.
+    """
+
+    revision: int
+    items: tuple[StoreItem, ...]
+    is_complete: bool
+
+
 class StateExchange:
     """Ask another instance for the store's state, and answer such questions.
 
@@ -275,41 +294,48 @@
             self._region.refresh_soon()
 
     def _build_answer(self, question, age_s) -> StateAnswer:
-        entries = self._state.entry_items
-        asked_era = _stated_era(question.entries_era, entries.era)
-        changed = ()
-        if asked_era == entries.era and question.entries_revision:
-            changed = entries.changes_since(question.entries_revision)
-        is_complete = (
-            asked_era < entries.era or not question.entries_revision or changed is None
-        )
-        is_behind = asked_era > entries.era
+        entries = self._entries_to_send(question)
         return StateAnswer(
             question.number,
             age_s,
             self._state.configuration_revision,
             self._newer_configuration(question),
-            0 if is_behind else entries.revision,
-            entries.items if is_complete and not is_behind else changed or (),
-            is_complete and not is_behind,
-            entries.digest,
-            entries_era=entries.era,
+            entries.revision,
+            entries.items,
+            entries.is_complete,
+            self._state.entry_items.digest,
+            entries_era=self._state.entry_items.era,
             configuration_version=self._state.configuration.version,
         )
 
-    def _newer_configuration(self, question):
+    def _entries_to_send(self, question) -> _SentEntries:
+        """Return the entries that the requesting instance lacks.
+
+        These are all entries if it knows an earlier era or too little of this one, and
+        none if it knows a later era than this instance.
+        """
+        replica = self._state.entry_items
+        asked_era = _stated_era(question.entries_era, replica.era)
+        if asked_era > replica.era:
+            return _SentEntries(0, (), False)
+        changed = None
+        if asked_era == replica.era and question.entries_revision:
+            changed = replica.changes_since(question.entries_revision)
+        if changed is None:
+            return _SentEntries(replica.revision, replica.items, True)
+        return _SentEntries(replica.revision, changed, False)
+
+    def _newer_configuration(self, question) -> tuple[StoreItem, ...]:
         """Return the configuration if the question doesn't state it or a newer one."""
         configuration = self._state.configuration_item
         if configuration is None:
             return ()
+        own_version = self._state.configuration.version
         if question.configuration_version:
-            known, own = (
-                question.configuration_version,
-                self._state.configuration.version,
-            )
+            is_newer = own_version > question.configuration_version
         else:
-            known, own = question.configuration_revision, configuration.revision
-        return (configuration,) if own > known else ()
+            is_newer = configuration.revision > question.configuration_revision
+        return (configuration,) if is_newer else ()
 
     def _add_members(self, answer, known_digest) -> StateAnswer:
         """Return an answer with the list of members, if the known one is another."""
