Ignore entries of builds without eras once the store was restored

While two builds run and the store comes back from a copy, an instance of the later build could keep outdated entries and ignore new ones, among them upstreams that drain.

Cause: the earlier build doesn't state the era of its entries, and the answer is taken to be in the era of the receiver. After a restoration its revisions may be those of the earlier era. They are higher than those given out again, so that changes and complete lists from the store were ignored as older ones.

Change: such entries are ignored by an instance that has replaced its own after a restoration. It gets entries from the store and from instances that state the era. One whose aggregator is of the earlier build gets no changes from it meanwhile.

--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -208,6 +208,8 @@
 
     def _apply_entries(self, message):
         replica = self._state.entry_items
+        if message.entries_era == UNSTATED_ERA and replica.copied_until:
+            return
         era = _stated_era(message.entries_era, replica.era)
         if era < replica.era:
             return
--- a/tests/gateway/test_restored_region.py
+++ b/tests/gateway/test_restored_region.py
@@ -206,3 +206,22 @@
     network.now_s += 2.0
     apply_version(state, 14, 39, started_at_s + 2.0)
     assert state.freshness.age_s(started_at_s + 2.0) == 0.0
+
+
+def test_entries_of_a_build_without_eras_are_ignored_after_a_restoration():
+    """Their revisions may be those of the earlier era and would hide later changes."""
+    network, reader_state, requester, requester_state = reader_and_requester()
+    for name, gossip in network.gossips.items():
+        gossip.socket.send = lambda addresses, message, name=name: network.send(
+            name, addresses, without_new_fields(message)
+        )
+    known = (entry_item("t1", 30), entry_item("t2", 31))
+    for state in (reader_state, requester_state):
+        state.apply_entry_items(known, 40, True, 1)
+    requester_state.apply_entry_items((entry_item("t1", 8),), 9, True, 2)
+    requester._states._needs_all_entries = True
+    request_state(network, requester)
+    assert requester_state.entry_items.revision == 9
+    draining = entry_item("t1", 12, state="draining", sequence=2)
+    requester_state.apply_entry_items((draining,), 12, False, 2)
+    assert requester_state.upstreams.get("t1").entry.is_draining
