--- a/src/chervilpitch/requests/responses.py
+++ b/src/chervilpitch/requests/responses.py
@@ -38,6 +38,7 @@
     RefusalKind.KEY_UNKNOWN: 401,
     RefusalKind.KEYS_NOT_FRESH: 503,
     RefusalKind.NOT_READY: 503,
+    RefusalKind.INSTANCE_STOPPING: 503,
     RefusalKind.ROUTE_UNKNOWN: 404,
     RefusalKind.ACCOUNT_NOT_ADMITTED: 403,
     RefusalKind.RATE_EXCEEDED: 429,
