--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,6 @@
 MACHINES = 6
 ROUNDS = 6
 STORM_S, STORM_GAP_S = 0.7, 0.06
-TURNED_AWAY_S = 5.0
 WATCHED_S = 4.0
 CALM_S = 5.0
 """Longer than `stable`, so that all machines are in touch again."""
@@ -101,7 +100,9 @@
         service, other = other, service
         one = Round(rig, [item for item in rig.instances if item not in readers])
         one.acknowledged_s = rig.store.put(
-            "op/config", version(number, service), f"version {number}: /book/ to {service}"
+            "op/config",
+            version(number, service),
+            f"version {number}: /book/ to {service}",
         )
         leaving = rig.targets[0]
         leaving.state = "draining"
--- a/review/rig.py
+++ b/review/rig.py
@@ -140,7 +140,7 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     def put(self, key, value, note=""):
-        """Write an item; return the time of the acknowledgement in monotonic seconds."""
+        """Write an item; return the time of the acknowledgement."""
         self.revision += 1
         content = value if isinstance(value, bytes) else json.dumps(value).encode()
         item = {
@@ -406,16 +406,11 @@
         )
         return answer
 
-    async def metric(self, name):
-        text = await self.rig.fetch(self.host, 9464, "/metrics", want_body=True)
-        match = re.search(rf"^\S*{name}\S* (\S+)$", text, re.MULTILINE)
-        return float(match[1]) if match else None
-
 
 class Rig:
     """A store, targets and instances that run until the context is left."""
 
-    def __init__(self, folder, name_suffix=""):
+    def __init__(self, folder):
         self.folder = pathlib.Path(folder)
         self.record = Record(self.folder / "record.txt")
         self.network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
@@ -453,9 +448,10 @@
         base = random.randint(20000, 28000)
         ports = []
         for port in range(base, base + 500):
-            with socket.socket() as tcp, socket.socket(
-                socket.AF_INET, socket.SOCK_DGRAM
-            ) as udp:
+            with (
+                socket.socket() as tcp,
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            ):
                 try:
                     for number in range(1, 13):
                         with socket.socket() as other:
@@ -689,6 +685,9 @@
     """Run a case, a coroutine function of a rig; exit as the issue says."""
 
     async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         rig = Rig(folder)
         rig.record.add(f"TROUBLE={int(WITH_TROUBLE)}")
         async with rig:
@@ -704,7 +703,7 @@
         is_broken = asyncio.run(run())
         print("the rule was broken" if is_broken else "the rule held")
         code = BROKEN if is_broken else HELD
-    except (CannotRun, OSError, TimeoutError) as error:
+    except (CannotRun, OSError, TimeoutError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         code = NOT_RUN
     sys.stdout.flush()
