--- a/review/3/case.py
+++ b/review/3/case.py
@@ -27,6 +27,7 @@
     await asyncio.sleep(4.0)
     key = f"servers/{leaving.name}"
     if r.WITH_TROUBLE:
+        rig.store.put(key, leaving.entry(), "last heartbeat")
         rig.record.add(f"{leaving.name} is cut from the store")
         rig.targets.remove(leaving)  # No more heartbeats reach the store.
         cut_s = time.monotonic()
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Runs the case; TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 cd "$(dirname "$0")"
-exec python3 case.py
+exec python3 -B case.py
