Send no new requests to an upstream that says in a response that it leaves

An upstream cut from the store says Server-Leaving: 1 in all its responses while its entry still names it ready; requests, bookings among them, were sent to it for up to 4 s after each instance had passed on such a response (bound: 2 s). Cause: no code read the header. Whether an upstream takes new requests came from its entry in the store alone. Ruled out: a stale list (the entry is the newest that the store has; the store removes it after 4.5 s of silence, and requests end then). Change: the header is decoded in platform/, and the state of the upstream keeps it for the incarnation, also while its entry is lost and comes back. Requests in progress go on, idle connections are closed. A 421 comes from another upstream and does not count.

--- a/src/chervilpitch/gateway/attempt.py
+++ b/src/chervilpitch/gateway/attempt.py
@@ -6,6 +6,7 @@
 
 from chervilpitch import platform
 from chervilpitch.model import HostRoute
+from chervilpitch.observe import part_logger
 from chervilpitch.policy import Choice
 
 from .http_client import ClientResponse, ExchangeError, FailureKind, HttpRequest
@@ -15,6 +16,8 @@
 
 __all__ = ["AttemptOutcome", "AttemptResult", "AttemptRunner", "OutgoingRequest"]
 
+log = part_logger("forward")
+
 
 class OutgoingRequest(NamedTuple):
     """A request to forward.
@@ -158,9 +161,12 @@
             return AttemptResult(AttemptOutcome.FAILED, cause=cause)
         if metadata.load is not None:
             upstream.record_load(metadata.load[0], metadata.load[1], now_s)
-        self._pool.release(
-            upstream.entry.name, acquired.connection, metadata.idle_for_s
-        )
+        if metadata.is_leaving and not metadata.is_misdirected:
+            self._record_leaving(outgoing, upstream, acquired.connection)
+        else:
+            self._pool.release(
+                upstream.entry.name, acquired.connection, metadata.idle_for_s
+            )
         if metadata.is_not_run:
             if metadata.is_misdirected:
                 upstream.record_not_run(number)
@@ -181,6 +187,19 @@
         upstream.record_success(number, now_s)
         return AttemptResult(AttemptOutcome.SERVED, response)
 
+    def _record_leaving(self, outgoing, upstream, connection):
+        """Use an upstream that is leaving no more, and close its idle connections."""
+        connection.close()
+        self._pool.close_idle(upstream.entry.name)
+        if upstream.is_leaving:
+            return
+        upstream.mark_leaving()
+        log.info(
+            "Upstream states that it is leaving; it gets no new requests.",
+            request=outgoing.request_id,
+            upstream=upstream.entry.name,
+        )
+
 
 def _mismatch_test(request_id: str):
     """Return a predicate for responses whose request id is that of another request."""
--- a/src/chervilpitch/platform/upstreams.py
+++ b/src/chervilpitch/platform/upstreams.py
@@ -20,6 +20,8 @@
 SEAL = b"x-chervilpitch-response-seal"
 NOT_EXECUTED = b"x-chervilpitch-not-executed"
 SERVER_LOAD = b"x-chervilpitch-server-load"
+SERVER_LEAVING = b"server-leaving"
+IS_LEAVING = b"1"
 SET_BY_INSTANCES = frozenset(
     (
         b"x-chervilpitch-key",
@@ -70,6 +72,9 @@
         Requests running, requests waiting and slots, if stated.
     idle_for_s : float or None
         Seconds that the connection may be idle, if stated.
+    is_leaving : bool
+        Whether the upstream states that it is leaving. A value other than ``1``
+        doesn't state this.
     """
 
     request_id: str
@@ -79,6 +84,7 @@
     is_encoded: bool
     load: tuple[int, int, int] | None
     idle_for_s: float | None
+    is_leaving: bool
 
 
 def upstream_headers(
@@ -126,6 +132,10 @@
         is_encoded=bool(header_value(headers, b"content-encoding")),
         load=_parse_load(header_value(headers, SERVER_LOAD)),
         idle_for_s=_parse_idle_for_s(header_value(headers, b"keep-alive")),
+        is_leaving=any(
+            name == SERVER_LEAVING and value.strip() == IS_LEAVING
+            for name, value in headers
+        ),
     )
 
 
--- a/src/chervilpitch/policy/placement.py
+++ b/src/chervilpitch/policy/placement.py
@@ -43,6 +43,7 @@
 }
 UNSAFE_EXPLORE_AFTER_S = 1.3
 UNSAFE_MAX_FAILURE_PROBABILITY = 0.3
+MAX_REMEMBERED_LEAVING = 4_000
 
 
 class Location(NamedTuple):
@@ -97,19 +98,26 @@
         self._states: dict[str, UpstreamState] = {}
         self._by_service: dict[str, _ServiceUpstreams] = {}
         self._unreported: set[UpstreamState] = set()
+        self._unlisted_leaving: dict[str, UpstreamEntry] = {}
         self._last_attempt_number = 0
 
     def update_entries(self, entries: Iterable[UpstreamEntry], now_s: float) -> None:
-        """Replace the list of upstreams, keeping the state of those that remain."""
+        """Replace the list of upstreams, keeping the state of those that remain.
+
+        An upstream that is leaving stays so if its entry is lost for a while and comes
+        back in the same incarnation.
+        """
         listed = {entry.name: entry for entry in entries}
         states = {}
         for name, entry in listed.items():
             state = self._states.get(name)
             if state is None or _is_restart(state.entry, entry):
-                state = UpstreamState(entry, now_s, self._unreported)
+                state = self._new_state(entry, now_s)
             else:
                 state.update_entry(entry)
             states[name] = state
+        for name in self._states.keys() - states.keys():
+            self._remember_leaving(self._states[name])
         self._states = states
         self._by_service = {}
         for state in states.values():
@@ -244,6 +252,21 @@
             if report is not None and self._states.get(report.upstream) is state
         )
 
+    def _new_state(self, entry, now_s) -> UpstreamState:
+        state = UpstreamState(entry, now_s, self._unreported)
+        left = self._unlisted_leaving.pop(entry.name, None)
+        if left is not None and not _is_restart(left, entry):
+            state.mark_leaving()
+        return state
+
+    def _remember_leaving(self, state):
+        """Remember an upstream that is leaving and not listed any more."""
+        if not state.is_leaving:
+            return
+        self._unlisted_leaving[state.entry.name] = state.entry
+        while len(self._unlisted_leaving) > MAX_REMEMBERED_LEAVING:
+            del self._unlisted_leaving[next(iter(self._unlisted_leaving))]
+
     def _explore(self, near, kind, now_s) -> UpstreamState | None:
         """Return the upstream of the region tried least recently, if it is due.
 
--- a/src/chervilpitch/policy/upstream_state.py
+++ b/src/chervilpitch/policy/upstream_state.py
@@ -99,6 +99,7 @@
         self._connect_failures = 0
         self._connect_blocked_until_s = float("-inf")
         self._is_misdirected = False
+        self._is_leaving = False
         self._succeeded = 0
         self._failed = 0
         self._late = 0.0
@@ -121,6 +122,11 @@
         """
         return self._tried_at_s
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the upstream has stated in a response that it is leaving."""
+        return self._is_leaving
+
     def update_entry(self, entry: UpstreamEntry) -> None:
         """Replace the entry by a newer one of the same incarnation."""
         self._entry = entry
@@ -129,9 +135,16 @@
         """Record that a different upstream responds at the address."""
         self._is_misdirected = True
 
+    def mark_leaving(self) -> None:
+        """Record that the upstream is leaving, whatever its entry in the store says.
+
+        An incarnation that has begun to leave does not come back.
+        """
+        self._is_leaving = True
+
     def is_usable(self, now_s: float) -> bool:
         """Return whether requests may be sent to the upstream."""
-        if self._entry.is_draining or self._is_misdirected:
+        if self._is_leaving or self._entry.is_draining or self._is_misdirected:
             return False
         return now_s >= self._connect_blocked_until_s
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -77,6 +77,8 @@
         Method, target, headers and body of each request that was run.
     cancelled : int
         Number of requests whose connection was closed while they ran.
+    extra_headers : dict of str to str
+        Headers that every response has besides its own.
     """
 
     def __init__(self, name, behaviour=Behaviour.CORRECT, service_time_s=0.0):
@@ -86,6 +88,7 @@
         self.service_time_s = service_time_s
         self.runs = []
         self.cancelled = 0
+        self.extra_headers = {}
         self.connections = 0
         self.address = ""
         self._server = None
@@ -209,6 +212,7 @@
         lines = [f"HTTP/1.1 {status} Any"]
         request_id = headers.get("x-chervilpitch-request-id", "")
         lines.append(f"X-Chervilpitch-Request-Id: {request_id}")
+        fields = self.extra_headers | fields
         lines.extend(f"{name}: {value}" for name, value in fields.items())
         lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
