Let a reader say that the store turns it away, so that others read in its place

The store turned away the two instances of a region that read it and served the others; these ran requests by the old service, and sent some to a leaving upstream, that were sent up to 2.3 s after the change (bound: 2 s). Cause: a reader that is turned away counted as one until its last proof was 2.7 s old. Proofs are dated back by 1 s, so that this took 1.7 s after a change that was just seen; the waits of the election came on top. The reader knew after less than a millisecond. Ruled out: the store was slow or the questions were lost (calls took 10 ms, the readers answered all along). Change: answers between instances carry whether the sender reads the store and is answered. The next aggregators by rank read in the place of those that fail, and as many as have failed; a question that reaches a failing reader goes to the next one at once. Replacements repeat failed calls more seldom. Builds that state nothing are judged by their proofs, as before.

--- a/src/chervilpitch/gateway/gateway.capnp
+++ b/src/chervilpitch/gateway/gateway.capnp
@@ -108,4 +108,5 @@
   heardShare @10 :Float32;
   entriesEra @11 :Int64 = -1;
   configurationVersion @12 :UInt64;
+  readerStatus @13 :UInt32;
 }
--- a/src/chervilpitch/gateway/gossip.py
+++ b/src/chervilpitch/gateway/gossip.py
@@ -4,7 +4,7 @@
 from functools import singledispatchmethod
 
 from chervilpitch.observe import part_logger
-from chervilpitch.policy import MemberState, ReaderElection
+from chervilpitch.policy import MemberState, ReaderElection, ReaderStatus
 
 from .codec import Datagram
 from .evidence import EvidenceExchange
@@ -70,6 +70,11 @@
         """Whether this instance reads the store itself."""
         return self._election.is_reading
 
+    @property
+    def is_replacement_reader(self) -> bool:
+        """Whether this instance reads the store only while the first readers fail."""
+        return self._election.is_replacement
+
     @property
     def reading_begun(self) -> asyncio.Event:
         """Event that is set while this instance reads the store itself."""
@@ -172,3 +177,5 @@
     @_handle.register
     def _(self, message: StateAnswer, datagram, address):
         self._states.receive_answer(message, datagram.sender)
+        if message.reader_status == ReaderStatus.FAILING:
+            self.update_reader_role()
--- a/src/chervilpitch/gateway/messages.py
+++ b/src/chervilpitch/gateway/messages.py
@@ -264,6 +264,8 @@
     configuration_version : int
         Version of the configuration in force that the proof concerns; 0 if there is
         none or the sender's build doesn't state it.
+    reader_status : int
+        A :class:`ReaderStatus` of the sender.
     """
 
     number: int
@@ -279,3 +281,4 @@
     heard_share: float = 0.0
     entries_era: int = UNSTATED_ERA
     configuration_version: int = 0
+    reader_status: int = 0
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -24,6 +24,7 @@
     PlannedStop,
     RetryBudget,
     RouteTable,
+    StoreCalls,
     StoreEra,
     UpstreamTable,
     UsageCounters,
@@ -71,6 +72,7 @@
         self._routes = RouteTable(())
         self._configuration_item: StoreItem | None = None
         self._store_era = StoreEra()
+        self._store_calls = StoreCalls()
         self._entries = UpstreamEntries(self._upstreams, clock)
         limits = FreshnessLimits.from_bounds(
             bounds.revocation_s, bounds.configuration_s
@@ -120,6 +122,11 @@
         """Contact with the region and the store."""
         return self._contact
 
+    @property
+    def store_calls(self) -> StoreCalls:
+        """Whether the store answers the calls of this instance."""
+        return self._store_calls
+
     @property
     def store_era(self) -> int:
         """The newest era of the store that is known."""
--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -8,8 +8,8 @@
 from chervilpitch.policy import (
     READER_COUNT,
     ReaderElection,
+    ReaderStatus,
     is_proof_current,
-    peers_to_query,
 )
 
 from .heartbeats import log_discovered
@@ -76,7 +76,8 @@
     An aggregator asks the instances that read the store. Any other instance asks its
     aggregator, which also sends it the list of members. While an answer is overdue, an
     instance also asks a second aggregator. After a timeout, one that is not an
-    aggregator itself keeps the first that answers.
+    aggregator itself keeps the first that answers. If a reader answers that the store
+    turns it away, the next one is asked at once.
 
     Parameters
     ----------
@@ -150,7 +151,13 @@
 
     def _readers(self):
         """Return the others that are the first to read the store."""
-        return peers_to_query(self._region.ranked, self._members.own)[:READER_COUNT]
+        return self._sources()[:READER_COUNT]
+
+    def _sources(self):
+        """Return the others that may be asked, the readers first."""
+        return self._election.sources(
+            self._region.ranked, self._members.own, self._clock()
+        )
 
     def _ask(self, member, is_group_member, now_s, confirms_readers=True):
         self._last_number += 1
@@ -197,6 +204,7 @@
             (),
             False,
             answer.entries_digest,
+            reader_status=answer.reader_status,
         )
         self._socket.send([address], empty)
 
@@ -206,10 +214,13 @@
         if pending is None:
             return
         self._replace_silent_aggregator(sender)
-        is_current = is_proof_current(message.proof_age_s)
+        is_failing = message.reader_status == ReaderStatus.FAILING
+        is_proved = is_proof_current(message.proof_age_s)
+        self._record_reader_status(message.reader_status, sender)
         if pending.confirms_readers:
+            is_current = is_proved and (pending.is_group_member or not is_failing)
             self._election.record_answer(pending.asked_at_s, is_current)
-        if not is_current:
+        if not is_proved and not is_failing:
             self._source_index += 1
         if pending.is_group_member:
             self._apply_members(message)
@@ -224,6 +235,32 @@
             )
         if message.entries_revision:
             self._apply_entries(message)
+        if is_failing and not pending.is_group_member:
+            self._ask_other_reader()
+
+    def _record_reader_status(self, status, sender):
+        if status == ReaderStatus.FAILING:
+            self._election.record_failing(sender, self._clock())
+        elif status == ReaderStatus.READING:
+            self._election.record_reading(sender)
+
+    def _ask_other_reader(self):
+        """Ask the first reader that has not said that the store turns it away."""
+        now_s = self._clock()
+        asked = {question.receiver for question in self._pending.values()}
+        for member in self._readers():
+            if member.name not in asked and not self._election.is_failing(
+                member.name, now_s
+            ):
+                self._ask(member, False, now_s)
+                return
+
+    def _own_reader_status(self) -> ReaderStatus:
+        if not self._election.is_reading:
+            return ReaderStatus.NOT_READING
+        if self._state.store_calls.are_failing(self._clock()):
+            return ReaderStatus.FAILING
+        return ReaderStatus.READING
 
     def _apply_entries(self, message):
         replica = self._state.entry_items
@@ -266,7 +303,7 @@
         A timeout or an answer without a current proof advances to the next one: the
         first ``READER_COUNT`` candidates in turn, then a random one.
         """
-        candidates = peers_to_query(self._region.ranked, self._members.own)
+        candidates = self._sources()
         if not candidates:
             return None
         index = self._source_index % (READER_COUNT + 1)
@@ -308,6 +345,7 @@
             self._state.entry_items.digest,
             entries_era=self._state.entry_items.era,
             configuration_version=self._state.configuration.version,
+            reader_status=int(self._own_reader_status()),
         )
 
     def _entries_to_send(self, question) -> _SentEntries:
--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -5,6 +5,7 @@
 from chervilpitch import platform
 from chervilpitch.model import StorePosition
 from chervilpitch.observe import part_logger
+from chervilpitch.policy import StoreStream
 
 from .gossip import Gossip
 from .http_client import ExchangeError, HttpRequest, connect
@@ -19,7 +20,12 @@
 CONFIGURATION_WATCH_MS = 600
 ENTRIES_WATCH_MS = 1_500
 ENTRIES_WATCH_PAUSE_S = 0.5
+OVERDUE_S = 0.3
+"""Time after which a response counts as overdue, besides the wait of a watch."""
 RETRY_DELAY_S = 0.3
+MAX_REPLACEMENT_RETRY_DELAY_S = 1.2
+"""Longest delay of an instance that reads while the first readers fail: it may be all
+instances that the store turns away."""
 DEFECT_RETRY_DELAY_S = 2.0
 DISCOVERY_S = 0.25
 FIRST_ANSWER_TIMEOUT_S = 0.5
@@ -54,12 +60,26 @@
 
 
 class _StoreConnection:
-    """A connection to the store that is reopened after a failure."""
+    """A connection to the store that is reopened after a failure.
 
-    def __init__(self, address: str):
+    Parameters
+    ----------
+    address : str
+        Host and port of the store.
+    stream : StoreStream
+        What its calls follow.
+    """
+
+    def __init__(self, address: str, stream: StoreStream):
         self._address = address
+        self._stream = stream
         self._connection = None
 
+    @property
+    def stream(self) -> StoreStream:
+        """What its calls follow."""
+        return self._stream
+
     async def get(self, target: str, timeout_s: float):
         """Return the response to a GET request.
 
@@ -131,7 +151,7 @@
             await self._wait_until(self._has_state, FIRST_ANSWER_TIMEOUT_S)
         if self._has_state() or not self._gossip.region.is_aggregator:
             return
-        connection = _StoreConnection(self._address)
+        connection = _StoreConnection(self._address, StoreStream.ENTRIES)
         try:
             await self._list_entries(connection)
             await self._read_configuration(connection, None)
@@ -150,35 +170,41 @@
 
     async def watch_configuration(self) -> None:
         """Read and watch the configuration while this is a reader; never return."""
-        await self._watch(self._read_configuration)
+        await self._watch(self._read_configuration, StoreStream.CONFIGURATION)
 
     async def watch_entries(self) -> None:
         """Read and watch the entries while this is a reader; never return."""
-        await self._watch(self._read_entries)
+        await self._watch(self._read_entries, StoreStream.ENTRIES)
 
-    async def _watch(self, read):
-        connection = _StoreConnection(self._address)
+    async def _watch(self, read, stream):
+        connection = _StoreConnection(self._address, stream)
         position: StorePosition | None = None
+        failures = 0
         while True:
             if not self._gossip.is_reading:
                 connection.close()
+                self._state.store_calls.clear(stream)
                 position = None
+                failures = 0
                 await self._gossip.reading_begun.wait()
                 continue
             try:
                 position = await read(connection, position)
+                failures = 0
                 self._mark_reachable()
             except StoreCallError as error:
                 if error.problem in READ_ANEW:
                     position = None
                 if error.problem is platform.StoreProblem.ERA_CHANGED:
                     continue
+                failures += 1
                 self._mark_unreachable(error)
-                await asyncio.sleep(RETRY_DELAY_S)
+                await asyncio.sleep(self._retry_delay_s(failures))
             except (ExchangeError, TimeoutError) as error:
+                failures += 1
                 connection.close()
                 self._mark_unreachable(error)
-                await asyncio.sleep(RETRY_DELAY_S)
+                await asyncio.sleep(self._retry_delay_s(failures))
             except Exception:
                 connection.close()
                 position = None
@@ -186,6 +212,12 @@
                 log.exception("Handling of a store response failed; reading it anew.")
                 await asyncio.sleep(DEFECT_RETRY_DELAY_S)
 
+    def _retry_delay_s(self, failures) -> float:
+        """Return the delay after a number of failures in a row."""
+        if not self._gossip.is_replacement_reader:
+            return RETRY_DELAY_S
+        return min(MAX_REPLACEMENT_RETRY_DELAY_S, RETRY_DELAY_S * 2 ** (failures - 1))
+
     async def _read_configuration(self, connection, position) -> StorePosition | None:
         started_at_s = self._clock()
         if position is None:
@@ -251,12 +283,22 @@
         self, connection, target, parse, wait_s=0.0, watched_era=None
     ) -> platform.StoreResponse:
         self._calls += 1
-        response = await connection.get(target, wait_s + READ_TIMEOUT_S)
-        era = self._checked_era(response, watched_era)
-        parsed = parse(response.status, response.body)
-        if parsed.is_err():
-            raise StoreCallError(parsed.unwrap_err())
-        return parsed.unwrap()._replace(era=era)
+        calls = self._state.store_calls
+        calls.begin(connection.stream, self._clock() + wait_s + OVERDUE_S)
+        is_answered = False
+        try:
+            response = await connection.get(target, wait_s + READ_TIMEOUT_S)
+            era = self._checked_era(response, watched_era)
+            parsed = parse(response.status, response.body)
+            if parsed.is_err():
+                raise StoreCallError(parsed.unwrap_err())
+            is_answered = True
+            return parsed.unwrap()._replace(era=era)
+        except StoreCallError as error:
+            is_answered = error.problem in READ_ANEW
+            raise
+        finally:
+            calls.end(connection.stream, is_answered)
 
     def _checked_era(self, response, watched_era) -> int:
         """Return the era of a response that follows what is known and was watched."""
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -35,6 +35,7 @@
 from .report_totals import ReportTotals
 from .routes import RouteTable, pick_service
 from .stopping import PlannedStop
+from .store_calls import ReaderStatus, StoreCalls, StoreStream
 from .store_era import StoreEra
 from .upstream_state import UpstreamReport, UpstreamState
 from .usage import AccountUsage, ReportedUsage, UsageCounters
@@ -59,11 +60,14 @@
     "MemberTable",
     "PlannedStop",
     "ReaderElection",
+    "ReaderStatus",
     "ReportTotals",
     "ReportedUsage",
     "RetryBudget",
     "RouteTable",
+    "StoreCalls",
     "StoreEra",
+    "StoreStream",
     "UpstreamListing",
     "UpstreamReport",
     "UpstreamState",
--- a/src/chervilpitch/policy/reader_election.py
+++ b/src/chervilpitch/policy/reader_election.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from .aggregation import is_aggregator
+from .aggregation import aggregators_of
 from .members import Member, MemberState
 
 __all__ = ["READER_COUNT", "ReaderElection", "is_proof_current", "peers_to_query"]
@@ -16,6 +16,8 @@
 GROUP_STAGGER_S = 0.8
 FALLBACK_READ_S = 4.0
 STALE_ANSWER_TIMEOUT_S = 0.3
+FAILING_READER_PAUSE_S = 1.5
+"""Time for which an instance that fails to read the store counts as no reader."""
 MAX_PROOF_AGE_S = 2.7
 """Age that the proof of a reader reaches between two watches, with a margin."""
 
@@ -25,9 +27,12 @@
 
     Each instance reads once when it starts and then waits to discover the others.
     The first ``READER_COUNT`` instances of a region by rank continue to read. The
-    others query them, and switch to the second if the first fails. If no reader
-    answers in time, the others start to read one after another, by rank, so that
-    they do not all query the store at once, even if all have just started. An
+    others query them, and switch to the second if the first fails.
+
+    A reader that the store turns away says so when it is queried. The next ones by rank
+    then read in its place, and twice as many if these fail too; it goes on trying.
+    If no reader answers in time, the others start to read one after another, by rank,
+    so that they do not all query the store at once, even if all have just started. An
     instance that is not an aggregator gives its aggregator time to do so first.
 
     Parameters
@@ -41,13 +46,20 @@
         self._answered_at_s: float | None = None
         self._is_answer_stale = False
         self._fallback_until_s = float("-inf")
+        self._failing_until_s: dict[str, float] = {}
         self._is_reading = False
+        self._is_replacement = False
 
     @property
     def is_reading(self) -> bool:
         """Whether this instance reads the store now."""
         return self._is_reading
 
+    @property
+    def is_replacement(self) -> bool:
+        """Whether this instance reads only while the first readers fail."""
+        return self._is_replacement
+
     def record_answer(self, asked_at_s: float, is_current: bool = True) -> None:
         """Record an answer by the time at which its query was sent.
 
@@ -63,6 +75,44 @@
         if is_current:
             self._answered_at_s = max(asked_at_s, self._answered_at_s or asked_at_s)
 
+    def record_failing(self, name: str, now_s: float) -> None:
+        """Record that an instance reads the store and says that its calls fail."""
+        self._failing_until_s[name] = now_s + FAILING_READER_PAUSE_S
+
+    def record_reading(self, name: str) -> None:
+        """Record that an instance says that the store answers its calls."""
+        self._failing_until_s.pop(name, None)
+
+    def is_failing(self, name: str, now_s: float) -> bool:
+        """Return whether an instance said recently that its calls fail."""
+        return now_s < self._failing_until_s.get(name, float("-inf"))
+
+    def sources(
+        self, ranked: Sequence[Member], own: Member, now_s: float
+    ) -> list[Member]:
+        """Return the instances to query for the store's state, the readers first.
+
+        Parameters
+        ----------
+        ranked : sequence of Member
+            Instances of the region by rank.
+        own : Member
+            This instance.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of Member
+            Instances that are not leaving, by rank; while some fail to read the store,
+            the aggregators that don't, if there are any.
+        """
+        able = self._able(ranked, own, now_s)
+        if len(able) == len(aggregators_of(ranked)):
+            return peers_to_query(ranked, own)
+        others = [item for item in able if item.name != own.name]
+        return others or peers_to_query(ranked, own)
+
     def update(
         self,
         ranked: Sequence[Member],
@@ -88,21 +138,44 @@
         rank = next(
             index for index, member in enumerate(ranked) if member.name == own.name
         )
+        aggregators = aggregators_of(ranked)
+        aggregates = any(item.name == own.name for item in aggregators)
         stagger_s = STAGGER_STEP_S * min(rank, MAX_STAGGER_STEPS)
-        aggregates = is_aggregator(ranked, own)
         if not aggregates:
             stagger_s += GROUP_STAGGER_S
-        if (aggregates and is_isolated) or self._has_timed_out(stagger_s, now_s):
+        is_replacing = self._is_replacing(ranked, own, now_s)
+        has_timed_out = self._has_timed_out(stagger_s, now_s)
+        if is_replacing or (aggregates and is_isolated) or has_timed_out:
             self._fallback_until_s = now_s + FALLBACK_READ_S
         has_discovered = now_s - self._started_at_s >= DISCOVERY_S
-        is_reader = rank == 0 or (
+        is_first_reader = rank == 0 or (
             rank < READER_COUNT and self._answered_at_s is not None
         )
         self._is_reading = has_discovered and (
-            is_reader or now_s < self._fallback_until_s
+            is_first_reader or now_s < self._fallback_until_s
         )
+        self._is_replacement = self._is_reading and not is_first_reader
         return self._is_reading
 
+    def _able(self, ranked, own, now_s) -> list[Member]:
+        """Return the aggregators that may read the store, this one included."""
+        return [
+            item
+            for item in aggregators_of(ranked)
+            if item.name == own.name or not self.is_failing(item.name, now_s)
+        ]
+
+    def _is_replacing(self, ranked, own, now_s) -> bool:
+        """Return whether this instance reads in the place of readers that fail."""
+        if self._answered_at_s is None:
+            return False
+        able = self._able(ranked, own, now_s)
+        failing_count = len(aggregators_of(ranked)) - len(able)
+        if not failing_count:
+            return False
+        readers = able[: max(READER_COUNT, failing_count)]
+        return any(item.name == own.name for item in readers)
+
     def _has_timed_out(self, stagger_s, now_s):
         if self._answered_at_s is None:
             return now_s - self._started_at_s > FIRST_ANSWER_TIMEOUT_S + stagger_s
--- a/tests/gateway/region_simulation.py
+++ b/tests/gateway/region_simulation.py
@@ -7,9 +7,11 @@
 
 from chervilpitch.gateway.codec import Datagram
 from chervilpitch.gateway.gossip import Gossip
-from chervilpitch.policy import MemberState
+from chervilpitch.model import StoreItem
+from chervilpitch.platform import CONFIGURATION_KEY
+from chervilpitch.policy import MemberState, StoreStream
 
-from .harness import new_state
+from .harness import configuration, encode_json, new_state
 
 STEP_S = 0.05
 DELAY_S = 0.002
@@ -42,6 +44,8 @@
         self.now_s = 100.0
         self.received = Counter()
         self.is_store_up = True
+        self.turned_away = set()
+        self._published = ()
         self.unreachable = set()
         self.gossips = {}
         self.states = {}
@@ -92,10 +96,27 @@
         if step % STATE_STEPS == 0:
             gossip.request_state()
 
+    def publish(self, version):
+        """Write a version of the configuration to the store."""
+        content = encode_json(configuration(version))
+        self._published = (StoreItem(CONFIGURATION_KEY, content, version),)
+
+    def without(self, version):
+        """Return the instances that the store serves and that don't know a version."""
+        return {
+            name
+            for name in self.gossips.keys() - self.turned_away
+            if self.states[name].configuration.version < version
+        }
+
     def _prove(self):
         for name in self.readers() if self.is_store_up else ():
-            if name not in self.unreachable:
-                self.states[name].apply_configuration_items((), self.now_s)
+            if name in self.unreachable:
+                continue
+            is_served = name not in self.turned_away
+            self.states[name].store_calls.end(StoreStream.CONFIGURATION, is_served)
+            if is_served:
+                self.states[name].apply_configuration_items(self._published, self.now_s)
 
     def _deliver(self):
         while self._queue and self._queue[0][0] <= self.now_s:
--- a/tests/gateway/test_large_region.py
+++ b/tests/gateway/test_large_region.py
@@ -3,7 +3,8 @@
 import pytest
 
 from chervilpitch.model import UpstreamEntry
-from chervilpitch.policy import LatencyBaseline
+from chervilpitch.platform import Bounds
+from chervilpitch.policy import LatencyBaseline, aggregators_of
 
 from .region_simulation import RegionSimulation
 
@@ -14,6 +15,8 @@
 EVIDENCE_S = 0.6
 TAKEOVER_S = 3.5
 ISOLATION_S = 2.0
+CONFIGURATION_S = Bounds().configuration_s
+READERS_RETURN_S = 8.0
 MAX_DATAGRAMS_PER_S = 220
 MAX_MEAN_DATAGRAMS_PER_S = 60
 MAX_IDLE_DATAGRAMS_PER_S = 15
@@ -119,6 +122,36 @@
     assert len(region.readers()) <= 6
 
 
+@pytest.mark.parametrize("count", SIZES)
+@pytest.mark.parametrize("turned_away_count", (2, 5))
+def test_change_arrives_in_time_while_the_first_by_rank_are_turned_away(
+    count, turned_away_count
+):
+    region = RegionSimulation(count, seed=14)
+    region.publish(1)
+    region.run(DISCOVERY_S + 2.0)
+    assert region.without(1) == set()
+    aggregators = aggregators_of(region.gossips["i0"].region.ranked)
+    region.turned_away = {item.name for item in aggregators[:turned_away_count]}
+    region.publish(2)
+    region.run(CONFIGURATION_S)
+    assert region.without(2) == set()
+    assert len(region.readers()) <= 2 * turned_away_count + 2
+    region.turned_away = set()
+    region.run(READERS_RETURN_S)
+    assert len(region.readers()) == 2
+
+
+def test_readers_that_the_store_turns_away_are_no_reason_to_read_for_whole_groups():
+    region = RegionSimulation(100, seed=15)
+    region.publish(1)
+    region.run(DISCOVERY_S + 2.0)
+    region.turned_away = set(region.gossips)
+    region.run(1.0)
+    aggregators = aggregators_of(region.gossips["i0"].region.ranked)
+    assert region.readers() <= {item.name for item in aggregators}
+
+
 @pytest.mark.parametrize("count", SIZES)
 def test_evidence_of_one_instance_reaches_all_others(count):
     region = RegionSimulation(count, seed=7)
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -147,6 +147,43 @@
     assert not state.update(ranked, ranked[2], 10.05)
 
 
+def test_next_instances_by_rank_read_in_the_place_of_readers_that_fail():
+    ranked = [member(name) for name in "abcdef"]
+
+    def reading(failing):
+        states = {own: election(9.9) for own in ranked}
+        for state in states.values():
+            for name in failing:
+                state.record_failing(name, 10.0)
+        return "".join(
+            own.name for own in ranked if states[own].update(ranked, own, 10.0)
+        )
+
+    assert reading("") == "ab"
+    assert reading("a") == "abc"
+    assert reading("ab") == "abcd"
+    assert reading("abc") == "abcdef"
+
+
+def test_reader_that_failed_is_asked_again_once_it_reads_or_after_a_pause():
+    ranked = [member(name) for name in "abc"]
+    state = election(9.9)
+    state.record_failing("a", 10.0)
+    own = ranked[2]
+    assert [item.name for item in state.sources(ranked, own, 10.1)] == ["b"]
+    assert [item.name for item in state.sources(ranked, own, 11.6)] == ["a", "b"]
+    state.record_reading("a")
+    assert [item.name for item in state.sources(ranked, own, 10.1)] == ["a", "b"]
+
+
+def test_all_are_asked_if_all_fail_to_read():
+    ranked = [member(name) for name in "abc"]
+    state = election(9.9)
+    for name in "ab":
+        state.record_failing(name, 10.0)
+    assert [item.name for item in state.sources(ranked, ranked[2], 10.1)] == ["a", "b"]
+
+
 def test_after_a_start_others_wait_for_the_first_answer():
     ranked = [member(name) for name in "ab"]
     assert not election().update(ranked, ranked[0], 0.9)
