Apply the limits in force to connections that were opened before

Uploads that every configuration in force allowed got 413 on connections from before the version that raised max_body_bytes; no caller repeats a 413. Cause: a connection took the limits when it was opened and kept them as long as it was open, the largest header inside its parser. So did one that was opened before a restarted instance had a configuration. Ruled out: the version was not in force (new connections were served); the buffer for bodies was full (that is a 503). Change: limits are read when they are applied; time limits count from the caller's last bytes. A body may be as large as the limit at its header or the present one. Incomplete headers and framing are measured by the connection.

--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -1,6 +1,7 @@
 """Connections from callers."""
 
 import asyncio
+import sys
 from http import HTTPStatus
 
 import h11
@@ -30,20 +31,26 @@
     ----------
     server : HttpServer
         State shared by the connections.
+
+    Notes
+    -----
+    The limits are those in force when they are applied, as a connection may be open
+    for longer than a configuration is in force. A body is also accepted up to the limit
+    that was in force at its header.
     """
 
     def __init__(self, server: HttpServer):
         self._server = server
-        self._limits = server.limits
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
-        )
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport = None
         self._head = None
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
+        self._accepted_body_bytes = 0
         self._head_received_at_s = 0.0
-        self._idle_until_s = server.clock() + self._limits.header_timeout_s
+        self._active_at_s = server.clock()
+        self._has_received_head = False
+        self._linger_until_s = float("inf")
         self._task: asyncio.Task | None = None
         self._pipelined_bytes = 0
         self._is_ending = False
@@ -120,7 +127,7 @@
         What the caller has sent behind its last request is read and ignored.
         """
         self._is_ending = True
-        self._idle_until_s = self._server.clock() + LINGER_S
+        self._linger_until_s = self._server.clock() + LINGER_S
         self._resume_reading()
         try:
             self._transport.write_eof()
@@ -137,15 +144,27 @@
         now_s : float
             Monotonic time in seconds.
         """
-        if self._task is not None or now_s < self._idle_until_s:
+        if self._task is not None:
             return
         if self._is_ending:
-            self.close()
-        elif self._head is not None or self._http.their_state is h11.SEND_BODY:
+            if now_s >= self._linger_until_s:
+                self.close()
+            return
+        if now_s < self._active_at_s + self._timeout_s:
+            return
+        if self._head is not None or self._http.their_state is h11.SEND_BODY:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.close()
 
+    @property
+    def _timeout_s(self) -> float:
+        """Time in seconds that the caller may take for its next bytes."""
+        limits = self._server.limits
+        if self._has_received_head:
+            return limits.idle_timeout_s
+        return limits.header_timeout_s
+
     def _limit_pipelined(self, size_bytes):
         """Pause reading if much was sent behind a request in progress."""
         self._pipelined_bytes += size_bytes
@@ -161,6 +180,7 @@
         while self._task is None and not self._is_ending:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
+                self._limit_incomplete()
                 self._send_continue_if_expected()
                 return
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
@@ -172,21 +192,30 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._start_serving()
 
+    def _limit_incomplete(self):
+        """Reject a header, or framing of a body, that is too large before its end."""
+        incomplete, _ = self._http.trailing_data
+        if len(incomplete) > self._server.limits.max_header_bytes:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def _begin_request(self, head):
+        limits = self._server.limits
         self._head = head
         self._first_request_until_s = float("-inf")
-        self._head_received_at_s = self._server.clock()
-        self._idle_until_s = self._head_received_at_s + self._limits.idle_timeout_s
-        if _header_size(head) > self._limits.max_header_bytes:
+        self._head_received_at_s = self._active_at_s = self._server.clock()
+        self._has_received_head = True
+        self._accepted_body_bytes = limits.max_body_bytes
+        if _header_size(head) > limits.max_header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
         length = dict(head.headers).get(b"content-length", b"0")
-        if int(length) > self._limits.max_body_bytes:
+        if int(length) > limits.max_body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def _append_body(self, data):
-        self._idle_until_s = self._server.clock() + self._limits.idle_timeout_s
-        if self._body_bytes + len(data) > self._limits.max_body_bytes:
+        self._active_at_s = self._server.clock()
+        max_bytes = max(self._accepted_body_bytes, self._server.limits.max_body_bytes)
+        if self._body_bytes + len(data) > max_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif not self._server.buffers.reserve(len(data)):
             log.warning(
@@ -240,7 +269,7 @@
             return
         self._http.start_next_cycle()
         self._resume_reading()
-        self._idle_until_s = self._server.clock() + self._limits.idle_timeout_s
+        self._active_at_s = self._server.clock()
         try:
             self._process_events()
         except h11.RemoteProtocolError as error:
