Let the estimate of a route's response times follow a changed latency target

Requests of a route whose latency target a version had changed were still placed and judged overloaded by the first target. Cause: the same as of the limits of open connections: the target was copied when the route was first used, and the estimate lives as long as the process. Evidence: the test failed before (0.3 s for 1.2 s), and passes now.

--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -365,9 +365,12 @@
 
     def latency_baseline(self, route: HostRoute) -> LatencyBaseline:
         """Return the baseline of a route's response times."""
-        if route.name not in self._baselines:
-            self._baselines[route.name] = LatencyBaseline(route.aim_s)
-        return self._baselines[route.name]
+        baseline = self._baselines.get(route.name)
+        if baseline is None:
+            baseline = self._baselines[route.name] = LatencyBaseline(route.aim_s)
+        elif baseline.aim_s != route.aim_s:
+            baseline.set_aim(route.aim_s)
+        return baseline
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
--- a/src/chervilpitch/policy/latency.py
+++ b/src/chervilpitch/policy/latency.py
@@ -57,6 +57,16 @@
     def _sigma(self):
         return max(MIN_SIGMA, math.sqrt(self._variance))
 
+    def set_aim(self, aim_s: float) -> None:
+        """Replace the latency target; what was observed is kept.
+
+        Parameters
+        ----------
+        aim_s : float
+            Latency target in seconds.
+        """
+        self._aim_s = aim_s
+
     def observe(self, latency_s: float) -> None:
         """Add the response time of a successful request, in seconds."""
         value = math.log(max(MIN_LATENCY_S, latency_s))
--- a/tests/gateway/test_changed_limits.py
+++ b/tests/gateway/test_changed_values.py
@@ -1,16 +1,24 @@
-"""Limits of callers that a version changes while their connections stay open."""
+"""Values that a version changes while what uses them lives on, such as connections."""
 
 import asyncio
 import contextlib
 
 import pytest
 
+from chervilpitch.model import StoreItem
+from chervilpitch.platform import CONFIGURATION_KEY
+from chervilpitch.transport.clock import monotonic_s
 from standins.target import FakeTarget
 
 from .harness import (
+    HOST,
     GatewayHarness,
+    configuration,
+    encode_json,
     encode_request,
+    new_state,
     read_response,
+    route,
     run_scenario,
 )
 
@@ -140,3 +148,15 @@
                 assert await send(connection) == 200
 
     run_scenario(scenario)
+
+
+def test_latency_target_of_a_route_follows_the_version_in_force():
+    state = new_state("a", monotonic_s)
+    for version, aim_s in ((1, 0.3), (2, 1.2)):
+        routes = [route("read", "safe", aim=f"{aim_s * 1000:.0f}ms")]
+        hosts = [{"host": HOST, "path_routes": routes}]
+        content = encode_json(configuration(version, virtual_hosts=hosts))
+        item = StoreItem(CONFIGURATION_KEY, content, version)
+        state.apply_configuration_items((item,), monotonic_s())
+        in_force = state.routes.match(HOST, "/read/x")
+        assert state.latency_baseline(in_force).aim_s == aim_s
