Bound the pieces of a message and parse in turns, so that small ones hold up nobody

Uploads in tiny chunks without end held up other callers for longer than a test waits. Cause: whatever had been received was parsed without a pause, and each piece costs about as much time whatever its size; only bytes were bounded. Ruled out: memory (bounds on header, body and all bodies held, as tests show). Change: a response is given up after 16 interim responses, after 4,096 pieces beyond one for each 64 bytes, or with 1 MiB of framing beyond twice its body; that is a failure of the upstream, and counted. Responses and uploads are parsed in turns of 32 events, and reading pauses while much is unparsed. Uploads in too many pieces are parsed slowly, as a sound caller may send one. Bodies are gathered in one buffer.

--- a/src/chervilpitch/gateway/attempt.py
+++ b/src/chervilpitch/gateway/attempt.py
@@ -127,7 +127,7 @@
                 _mismatch_test(outgoing.request_id),
             )
         except ExchangeError as error:
-            self._pool.close_idle(name)
+            self._pool.record_failure(name, error.kind)
             if acquired.is_reused and error.kind is FailureKind.RESET:
                 upstream.record_not_run(number)
             else:
--- a/src/chervilpitch/gateway/http_client.py
+++ b/src/chervilpitch/gateway/http_client.py
@@ -8,6 +8,7 @@
 import h11
 
 from chervilpitch.errors import ChervilpitchError
+from chervilpitch.policy import FramingAllowance, ParsingTurn
 
 from .buffers import BufferLimit
 
@@ -22,6 +23,8 @@
 
 TCP_USER_TIMEOUT_MS = 4_000
 MAX_RESPONSE_BYTES = 33_554_432
+MAX_UNPARSED_BYTES = 262_144
+"""Bytes received and not parsed yet, above which reading is paused."""
 
 
 class FailureKind(StrEnum):
@@ -32,6 +35,7 @@
     TRUNCATED = "truncated"
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
+    TOO_MANY_PIECES = "too-many-pieces"
 
 
 class ExchangeError(ChervilpitchError):
@@ -111,7 +115,9 @@
         self._transport = None
         self._http = None
         self._data_event = asyncio.Event()
-        self._rest = b""
+        self._unparsed_bytes = 0
+        self._allowance = FramingAllowance()
+        self._turn = ParsingTurn()
         self._is_eof = False
         self._is_reset = False
         self._is_reusable = False
@@ -132,6 +138,9 @@
         if self._http is None:
             self.close()
             return
+        self._unparsed_bytes += len(data)
+        if self._unparsed_bytes > MAX_UNPARSED_BYTES:
+            self._transport.pause_reading()
         self._feed(data)
 
     def eof_received(self) -> bool:
@@ -187,6 +196,7 @@
 
     def _begin_exchange(self, request):
         self._http = h11.Connection(h11.CLIENT)
+        self._allowance = FramingAllowance()
         self._data_event.clear()
         if self._is_eof:
             raise ExchangeError(FailureKind.RESET)
@@ -205,7 +215,11 @@
         return b"".join(parts)
 
     async def _receive_next(self, request) -> ClientResponse:
-        """Receive the response that follows one which belongs to another request."""
+        """Receive the response that follows one which belongs to another request.
+
+        Such a response counts as an interim one, as there may be any number of them.
+        """
+        self._allowance.add_interim_response()
         rest, _ = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
         self._serialize(request)
@@ -216,20 +230,18 @@
 
     async def _receive(self, method) -> ClientResponse:
         head = None
-        parts = []
-        size = 0
+        body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                self._reserve(len(event.data), size)
+                body += event.data
+                self._reserve(len(event.data), len(body))
             elif isinstance(event, h11.EndOfMessage):
                 break
         headers = [(name, value) for name, value in head.headers]
-        return ClientResponse(head.status_code, headers, b"".join(parts))
+        return ClientResponse(head.status_code, headers, bytes(body))
 
     def _reserve(self, new_bytes, size):
         if size > MAX_RESPONSE_BYTES or not self._buffers.reserve(new_bytes):
@@ -243,15 +255,40 @@
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(self._failure_kind()) from error
             if event is h11.NEED_DATA:
-                if self._is_reset or self._is_eof:
-                    raise ExchangeError(self._failure_kind())
-                self._data_event.clear()
-                await self._data_event.wait()
-            elif isinstance(event, h11.ConnectionClosed):
+                await self._wait_for_data()
+                continue
+            if isinstance(event, h11.ConnectionClosed):
                 raise ExchangeError(FailureKind.RESET)
-            elif not isinstance(event, h11.InformationalResponse):
+            self._count(event)
+            if self._turn.take():
+                await asyncio.sleep(0)
+            if not isinstance(event, h11.InformationalResponse):
                 return event
 
+    async def _wait_for_data(self):
+        if self._is_reset or self._is_eof:
+            raise ExchangeError(self._failure_kind())
+        self._resume_reading()
+        self._data_event.clear()
+        await self._data_event.wait()
+        self._turn.reset()
+
+    def _resume_reading(self):
+        """Count what was parsed, and read on if reading was paused."""
+        self._allowance.add_received(self._unparsed_bytes)
+        if self._unparsed_bytes > MAX_UNPARSED_BYTES:
+            self._transport.resume_reading()
+        self._unparsed_bytes = 0
+
+    def _count(self, event):
+        """Count an event; give up a response in too many pieces."""
+        if isinstance(event, h11.Data):
+            self._allowance.add_piece(len(event.data))
+        elif isinstance(event, h11.InformationalResponse):
+            self._allowance.add_interim_response()
+        if self._allowance.is_exceeded:
+            raise ExchangeError(FailureKind.TOO_MANY_PIECES)
+
     def _failure_kind(self) -> FailureKind:
         if self._is_reset:
             return FailureKind.RESET
@@ -263,6 +300,7 @@
         is_idle = is_idle and self._http.their_state is h11.DONE
         has_unsent = self._transport.get_write_buffer_size() > 0
         self._http = None
+        self._resume_reading()
         if rest or has_unsent or not is_idle:
             self.close()
 
--- a/src/chervilpitch/gateway/pool.py
+++ b/src/chervilpitch/gateway/pool.py
@@ -1,9 +1,11 @@
 """Pool of idle connections to upstreams."""
 
+from collections import Counter
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from .buffers import BufferLimit
-from .http_client import ClientConnection, connect
+from .http_client import ClientConnection, FailureKind, connect
 
 __all__ = ["AcquiredConnection", "ConnectionPool"]
 
@@ -49,6 +51,12 @@
         self._buffers = buffers
         self._idle: dict[str, list[_IdleConnection]] = {}
         self._opened = 0
+        self._failures: Counter[FailureKind] = Counter()
+
+    @property
+    def failure_counts(self) -> Mapping[FailureKind, int]:
+        """Number of exchanges that failed so far, by kind."""
+        return self._failures
 
     @property
     def opened_count(self) -> int:
@@ -103,6 +111,11 @@
             limit_s = min(limit_s, idle_for_s - IDLE_MARGIN_S)
         idle.append(_IdleConnection(connection, self._clock() + limit_s))
 
+    def record_failure(self, upstream: str, kind: FailureKind) -> None:
+        """Count an exchange that failed, and close the upstream's idle connections."""
+        self._failures[kind] += 1
+        self.close_idle(upstream)
+
     def close_idle(self, upstream: str) -> None:
         """Close the idle connections of an upstream."""
         for item in self._idle.pop(upstream, ()):
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -30,6 +30,7 @@
 from .draining import drain_connections
 from .forward import Forwarder
 from .gossip import Gossip
+from .http_client import FailureKind
 from .http_server import HttpServer, ServerResponse
 from .metrics import GatewayMetrics
 from .pool import ConnectionPool
@@ -235,6 +236,9 @@
                 "store_defects": self._reader.defect_count,
                 "store_calls": self._reader.call_count,
                 "upstream_connections_opened": self._pool.opened_count,
+                "upstream_responses_in_too_many_pieces": self._pool.failure_counts[
+                    FailureKind.TOO_MANY_PIECES
+                ],
                 "log_lines_dropped": self._logs.dropped,
             }
         )
--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -7,6 +7,7 @@
 import h11
 
 from chervilpitch.observe import part_logger
+from chervilpitch.policy import FramingAllowance, ParsingTurn
 
 from .http_server import HttpServer, ServerRequest, ServerResponse
 
@@ -22,6 +23,8 @@
 FIRST_REQUEST_S = 0.5
 MAX_PIPELINED_BYTES = 65_536
 """Bytes received behind a request in progress, above which reading is paused."""
+SMALL_PIECES_DELAY_S = 0.01
+"""Delay after each turn of parsing a body that is in too many small pieces."""
 
 
 class ServerConnection(asyncio.Protocol):
@@ -44,8 +47,10 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport = None
         self._head = None
-        self._body_parts: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
+        self._allowance = FramingAllowance()
+        self._is_parsing_deferred = False
         self._accepted_body_bytes = 0
         self._head_received_at_s = 0.0
         self._active_at_s = server.clock()
@@ -78,9 +83,11 @@
             self._limit_pipelined(len(data))
         try:
             self._http.receive_data(data)
-            self._process_events()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
+            return
+        if not self._is_parsing_deferred:
+            self._parse()
 
     def eof_received(self) -> bool:
         """Close the connection, because a half-closed one counts as disconnected."""
@@ -176,7 +183,15 @@
             self._transport.resume_reading()
         self._pipelined_bytes = 0
 
+    def _parse(self):
+        """Process what was received; reject a request that is not valid HTTP/1.1."""
+        try:
+            self._process_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint)
+
     def _process_events(self):
+        turn = ParsingTurn()
         while self._task is None and not self._is_ending:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
@@ -188,9 +203,25 @@
             if isinstance(event, h11.Request):
                 self._begin_request(event)
             elif isinstance(event, h11.Data):
-                self._append_body(bytes(event.data))
+                self._append_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._start_serving()
+            if turn.take():
+                self._defer_parsing()
+                return
+
+    def _defer_parsing(self):
+        """Let other tasks run before the rest is parsed; longer after many pieces."""
+        self._is_parsing_deferred = True
+        self._transport.pause_reading()
+        delay_s = SMALL_PIECES_DELAY_S if self._allowance.is_exceeded else 0.0
+        asyncio.get_running_loop().call_later(delay_s, self._resume_parsing)
+
+    def _resume_parsing(self):
+        self._is_parsing_deferred = False
+        self._transport.resume_reading()
+        if not self._transport.is_closing():
+            self._parse()
 
     def _limit_incomplete(self):
         """Reject a header, or framing of a body, that is too large before its end."""
@@ -204,6 +235,7 @@
         self._first_request_until_s = float("-inf")
         self._head_received_at_s = self._active_at_s = self._server.clock()
         self._has_received_head = True
+        self._allowance = FramingAllowance()
         self._accepted_body_bytes = limits.max_body_bytes
         if _header_size(head) > limits.max_header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
@@ -224,8 +256,9 @@
             )
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
         else:
-            self._body_parts.append(data)
+            self._body += data
             self._body_bytes += len(data)
+            self._allowance.add_piece(len(data))
 
     def _send_continue_if_expected(self):
         if self._http.they_are_waiting_for_100_continue:
@@ -236,10 +269,10 @@
             self._head.method,
             self._head.target,
             list(self._head.headers),
-            b"".join(self._body_parts),
+            bytes(self._body),
             self._head_received_at_s,
         )
-        self._body_parts = []
+        self._body = bytearray()
         self._task = asyncio.get_running_loop().create_task(self._respond(request))
 
     async def _respond(self, request):
@@ -270,10 +303,7 @@
         self._http.start_next_cycle()
         self._resume_reading()
         self._active_at_s = self._server.clock()
-        try:
-            self._process_events()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint)
+        self._parse()
 
     def _is_last_response(self) -> bool:
         """Return whether the connection ends after the response that is due.
@@ -317,7 +347,7 @@
     def _release_body(self):
         self._server.buffers.release(self._body_bytes)
         self._body_bytes = 0
-        self._body_parts = []
+        self._body = bytearray()
 
 
 def _header_size(head: h11.Request) -> int:
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -10,6 +10,7 @@
 from .budget import RetryBudget
 from .directory import addresses_for
 from .failure_estimate import FailureEstimate
+from .framing import FramingAllowance, ParsingTurn
 from .freshness import Freshness, FreshnessLimits
 from .isolation import Contact, rate_share, share_heard
 from .latency import LatencyBaseline
@@ -49,6 +50,7 @@
     "Contact",
     "FailureEstimate",
     "FleetBucket",
+    "FramingAllowance",
     "Freshness",
     "FreshnessLimits",
     "Group",
@@ -58,6 +60,7 @@
     "Member",
     "MemberState",
     "MemberTable",
+    "ParsingTurn",
     "PlannedStop",
     "ReaderElection",
     "ReaderStatus",
--- a/standins/target.py
+++ b/standins/target.py
@@ -41,6 +41,8 @@
     ENDLESS_CHUNK_EXTENSION = "endless-chunk-extension"
     ENDLESS_TRAILER = "endless-trailer"
     ENDLESS_INFORMATIONAL = "endless-informational"
+    ENDLESS_SMALL_CHUNKS = "endless-small-chunks"
+    ENDLESS_SMALL_CHUNKS_WITH_EXTENSIONS = "endless-small-chunks-with-extensions"
 
 
 class _EndlessBytes(NamedTuple):
@@ -63,6 +65,10 @@
     Behaviour.ENDLESS_INFORMATIONAL: _EndlessBytes(
         b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 50
     ),
+    Behaviour.ENDLESS_SMALL_CHUNKS: _EndlessBytes(_OK_CHUNKED, b"2\r\nab\r\n" * 10_000),
+    Behaviour.ENDLESS_SMALL_CHUNKS_WITH_EXTENSIONS: _EndlessBytes(
+        _OK_CHUNKED, (b"1;e=" + b"e" * 4_000 + b"\r\nx\r\n") * 20
+    ),
 }
 
 
