Give the last tokens of an overused rate to a share of the requests

What callers saw: QUOTA at scale (users' record): 355 requests of an account in 5 s, where 335 are allowed. Cause: in a fleet of three large regions an admission is known to the median instance after 0.45 to 0.6 s. Until then all see the same tokens and admit everything, then all admit nothing until the debt is paid back, and begin again in the same moment. The last surge in a window comes on top of all that the rate allows. Ruled out: reports that are lost or not counted (in the simulation all instances know the same counters in the end); restarts and cuts (none in the record). Change: for 5 s after more than the rate was admitted, the tokens that the rate gives in 1 s are admitted in proportion to those left. A rate that is being used up is reported without delay 1 s before it is low. Retry-After counts until all requests are admitted again.

--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -1,5 +1,6 @@
 """State of one gateway instance."""
 
+import random
 from collections.abc import Mapping
 
 from chervilpitch import platform
@@ -175,7 +176,8 @@
         bucket = self._buckets.get(account)
         if bucket is None:
             return True
-        if not bucket.admit(now_s, self._contact.rate_share(now_s)):
+        share = self._contact.rate_share(now_s)
+        if not bucket.admit(now_s, share, random.random()):
             return False
         self._admissions.add(account)
         return True
--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -8,6 +8,11 @@
 RATE_DECAY_S = 1.0
 MAX_EXTRAPOLATION_S = 0.6
 LOW_LEVEL_SHARE_OF_BURST = 0.6
+LOW_LEVEL_AHEAD_S = 1.0
+"""Time within which a level that is to become low counts as low."""
+REPORTING_DELAY_S = 1.0
+"""Time in which admissions become known to all instances."""
+OVERUSE_MEMORY_S = 5.0
 MAX_RETRY_AFTER_S = 2.0
 TOLERANCE_DELAY_S = 1.5
 MAX_DEBT_S = 5.0
@@ -31,6 +36,12 @@
     starts empty and without tolerance, so that a restart of all instances does not
     grant the burst twice.
 
+    All instances see the same few tokens until they learn of each other's admissions.
+    For ``OVERUSE_MEMORY_S`` after more than the rate was admitted, each therefore
+    admits only a share of the requests, in proportion to the tokens left, once these
+    would be refilled within ``REPORTING_DELAY_S``. Otherwise all would admit everything
+    until the reports arrive, then nothing for seconds.
+
     Parameters
     ----------
     rate_per_s, burst : float
@@ -52,6 +63,9 @@
         self._refilled_at_s = now_s
         self._admitted = 0
         self._sources: dict[str, _Source] = {}
+        self._used_rate_per_s = 0.0
+        self._used_at_s = now_s
+        self._overused_until_s = float("-inf")
 
     @property
     def admitted(self) -> int:
@@ -65,7 +79,7 @@
         self._burst = burst
         self._level = min(self._level, burst)
 
-    def admit(self, now_s: float, share: float = 1.0) -> bool:
+    def admit(self, now_s: float, share: float = 1.0, draw: float = 0.0) -> bool:
         """Take a token if one is available, and return whether one was taken.
 
         Parameters
@@ -75,6 +89,9 @@
         share : float
             Share of the rate and the burst that may be used here. With less than the
             whole one there is no tolerance, as the others can't be heard.
+        draw : float
+            Random number from 0 to 1, which decides where a share of the requests is
+            admitted.
         """
         self._refill(now_s)
         if self._share == 1.0 and share < 1.0:
@@ -83,20 +100,24 @@
             self._level = min(self._level, 0.0)
         self._share = share
         self._level = min(self._level, max(0.0, self._burst * share))
-        if self._level - self._unreported(now_s) < self._required_level(now_s):
+        available = self._available(now_s)
+        if available < 0 or draw >= (available + 1) / self._ample_tokens(now_s):
             return False
         self._level -= 1
         self._admitted += 1
+        self._add_use(1, now_s)
         return True
 
     def is_low(self, now_s: float) -> bool:
         """Return whether admissions should be reported to others without delay."""
         self._refill(now_s)
-        return self._level < LOW_LEVEL_SHARE_OF_BURST * self._burst
+        loss_per_s = max(0.0, self._used_per_s(now_s) - self._rate_per_s)
+        expected = self._level - loss_per_s * LOW_LEVEL_AHEAD_S
+        return expected < LOW_LEVEL_SHARE_OF_BURST * self._burst
 
     def retry_after_s(self, now_s: float) -> float:
-        """Return the expected time in seconds until a token is available."""
-        missing = self._required_level(now_s) - self._level + self._unreported(now_s)
+        """Return the expected time in seconds until all requests are admitted."""
+        missing = self._ample_tokens(now_s) - 1 - self._available(now_s)
         wait_s = missing / max(self._rate_per_s, 0.001)
         return min(MAX_RETRY_AFTER_S, max(0.05, wait_s))
 
@@ -137,9 +158,31 @@
             return
         min_level = min(self._level, -self._rate_per_s * MAX_DEBT_S)
         self._level = max(self._level - gained, min_level)
+        self._add_use(gained, now_s)
         rate_per_s = _decayed_rate_per_s(known, now_s) + gained / RATE_DECAY_S
         self._sources[source] = _Source(admitted, rate_per_s, now_s)
 
+    def _ample_tokens(self, now_s) -> float:
+        """Return the number of tokens left from which all requests are admitted."""
+        if now_s >= self._overused_until_s:
+            return 1.0
+        return max(1.0, self._rate_per_s * REPORTING_DELAY_S)
+
+    def _available(self, now_s) -> float:
+        """Return the tokens left besides the one that a request takes."""
+        return self._level - self._unreported(now_s) - self._required_level(now_s)
+
+    def _used_per_s(self, now_s) -> float:
+        """Return the rate of the known admissions of all instances."""
+        elapsed_s = max(0.0, now_s - self._used_at_s)
+        return self._used_rate_per_s * math.exp(-elapsed_s / RATE_DECAY_S)
+
+    def _add_use(self, count, now_s):
+        self._used_rate_per_s = self._used_per_s(now_s) + count / RATE_DECAY_S
+        self._used_at_s = now_s
+        if self._used_rate_per_s > self._rate_per_s:
+            self._overused_until_s = now_s + OVERUSE_MEMORY_S
+
     def _required_level(self, now_s) -> float:
         """Return the level required to admit a request."""
         is_tolerant = now_s >= self._tolerant_from_s and self._share == 1.0
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -61,11 +61,15 @@
     } | fields
 
 
-def new_state(name, clock, bounds=None, incarnation=1):
-    """Return the state of a newly started instance in the region ``north``."""
+def new_state(
+    name, clock, bounds=None, incarnation=1, region="north", failure_domain="n1"
+):
+    """Return the state of a newly started instance."""
     serving = int(MemberState.SERVING)
-    own = Member(name, incarnation, 0, "north", "n1", f"{name}:80", name, serving)
-    location = Location("north", "n1", {"n1": "north"})
+    own = Member(
+        name, incarnation, 0, region, failure_domain, f"{name}:80", name, serving
+    )
+    location = Location(region, failure_domain, {failure_domain: region})
     return GatewayState(location, bounds or Bounds(), MemberTable(own), clock)
 
 
--- a/tests/gateway/region_simulation.py
+++ b/tests/gateway/region_simulation.py
@@ -1,4 +1,4 @@
-"""Instances of one region that exchange messages in one process, on a manual clock."""
+"""Instances that exchange messages in one process, on a manual clock."""
 
 import heapq
 import itertools
@@ -15,14 +15,16 @@
 
 STEP_S = 0.05
 DELAY_S = 0.002
-DOMAINS = ("n1", "n2", "n3")
+DOMAINS = 3
+SEEDS_PER_REGION = 3
+REGION_MEMBERS_STEPS = 40
 HEARTBEAT_STEPS = 2
 STATE_STEPS = 6
 READER_STEPS = 4
 
 
 class RegionSimulation:
-    """A region whose datagrams arrive after a delay, or are lost.
+    """A region, or several, whose datagrams arrive after a delay, or are lost.
 
     Parameters
     ----------
@@ -32,12 +34,15 @@
         Seed of random numbers.
     loss : float
         Share of datagrams that are lost.
+    regions : tuple of str
+        Regions, to which the instances belong in turn.
     """
 
-    def __init__(self, count, seed, loss=0.0):
+    def __init__(self, count, seed, loss=0.0, regions=("north",)):
         random.seed(seed)
         self._rng = random.Random(seed)
         self._loss = loss
+        self._regions = regions
         self._steps = 0
         self._queue = []
         self._order = itertools.count()
@@ -54,10 +59,17 @@
             self._start(f"i{number}", number)
 
     def _start(self, name, number):
-        state = new_state(name, lambda: self.now_s)
-        own = state.members.own
-        state.members._own = own._replace(failure_domain=DOMAINS[number % 3])
-        gossip = Gossip(state, ("i0", "i1", "i2"), lambda: self.now_s)
+        position, index = divmod(number, len(self._regions))
+        region = self._regions[index]
+        state = new_state(
+            name,
+            lambda: self.now_s,
+            region=region,
+            failure_domain=f"{region}-{position % DOMAINS}",
+        )
+        seed_count = SEEDS_PER_REGION * len(self._regions)
+        seeds = tuple(f"i{seed}" for seed in range(seed_count))
+        gossip = Gossip(state, seeds, lambda: self.now_s)
         gossip.socket.send = lambda addresses, message: self._send(
             name, addresses, message
         )
@@ -95,10 +107,12 @@
             gossip.update_reader_role()
         if step % STATE_STEPS == 0:
             gossip.request_state()
+        if step % REGION_MEMBERS_STEPS == 0 and len(self._regions) > 1:
+            gossip.send_members_to_other_regions()
 
-    def publish(self, version):
+    def publish(self, version, **fields):
         """Write a version of the configuration to the store."""
-        content = encode_json(configuration(version))
+        content = encode_json(configuration(version, **fields))
         self._published = (StoreItem(CONFIGURATION_KEY, content, version),)
 
     def without(self, version):
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -178,6 +178,47 @@
     assert 1 <= admitted <= 10.0 * 0.1 * 6 + 1
 
 
+def overused_bucket(tokens):
+    """Return a bucket of 10 requests/s that others have overused, and the time."""
+    bucket = FleetBucket(rate_per_s=10.0, burst=50.0, tolerance=0.0, now_s=0.0)
+    bucket.add_report("a", 0, 20.0)
+    bucket.add_report("a", 50 - tokens, 20.1)
+    return bucket, 20.1
+
+
+@pytest.mark.parametrize(
+    ("draw", "expected"), [(0.0, True), (0.45, True), (0.6, False)]
+)
+def test_last_tokens_of_an_overused_rate_are_given_to_a_share_of_the_requests(
+    draw, expected
+):
+    bucket, now_s = overused_bucket(tokens=5)
+    assert bucket.admit(now_s, draw=draw) is expected
+    assert bucket.retry_after_s(now_s) >= 0.5
+
+
+def test_all_requests_are_admitted_while_there_are_ample_tokens():
+    bucket, now_s = overused_bucket(tokens=15)
+    assert all(bucket.admit(now_s, draw=0.999) for _ in range(5))
+
+
+def test_all_requests_are_admitted_again_after_some_time():
+    bucket, now_s = overused_bucket(tokens=50)
+    for _ in range(45):
+        bucket.admit(now_s + 6.0)
+    assert bucket.admit(now_s + 9.0, draw=0.999)
+
+
+def test_rate_that_is_being_used_up_is_reported_without_delay_before_it_is_low():
+    bucket = FleetBucket(rate_per_s=10.0, burst=50.0, tolerance=0.0, now_s=0.0)
+    bucket.add_report("a", 0, 20.0)
+    assert not bucket.is_low(20.0)
+    bucket.add_report("a", 18, 20.1)
+    assert not bucket.is_low(20.1 + 4.0)
+    bucket.add_report("a", 36, 20.2)
+    assert bucket.is_low(20.2)
+
+
 def test_log_fields_do_not_replace_those_of_every_line():
     fields = FleetBucket(10.0, 10.0, 0.0, 0.0).log_fields(10.0)
     assert not fields.keys() & {"event", "level", "timestamp"}
