--- /dev/null
+++ b/src/chervilpitch/gateway/account_buckets.py
@@ -0,0 +1,97 @@
+"""Token buckets of the client accounts that the configuration in force limits."""
+
+import random
+from collections.abc import Mapping
+
+from chervilpitch import platform
+from chervilpitch.model import AccountQuota
+from chervilpitch.observe import part_logger
+from chervilpitch.policy import FleetBucket, UsageCounters
+
+__all__ = ["AccountBuckets"]
+
+log = part_logger("state")
+
+RATE_EXCESS_FRACTION = 0.4
+RATE_SLACK_FRACTION = 0.4
+
+
+class AccountBuckets:
+    """Bucket of each client account with a rate, and counters of what they admit.
+
+    Parameters
+    ----------
+    bounds : platform.Bounds
+        Bounds that the platform promises to its users.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, bounds: platform.Bounds, clock):
+        self._bounds = bounds
+        self._clock = clock
+        self._accounts: Mapping[str, AccountQuota] = {}
+        self._by_name: dict[str, FleetBucket] = {}
+        self._counters = UsageCounters()
+
+    @property
+    def by_name(self) -> dict[str, FleetBucket]:
+        """Buckets by the name of the client account."""
+        return self._by_name
+
+    def set_counters(self, counters: UsageCounters) -> None:
+        """Count admitted requests in the counters given."""
+        self._counters = counters
+
+    def update(self, accounts: Mapping[str, AccountQuota]) -> None:
+        """Apply the client accounts of a new configuration."""
+        before = self._accounts
+        self._accounts = accounts
+        for account in accounts.values():
+            if account != before.get(account.name):
+                log.info(
+                    "Quota in force.",
+                    account=account.name,
+                    rate_per_s=account.rate_per_s,
+                    burst=account.burst,
+                    priority=account.priority,
+                )
+            self._update_bucket(account)
+
+    def admit(self, account: str, share: float, now_s: float) -> bool:
+        """Return whether the rate of a client account allows one more request.
+
+        The request is then counted. An account without a rate has no bucket.
+
+        Parameters
+        ----------
+        account : str
+            Name of the client account.
+        share : float
+            Share of its rate that may be used here.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        bucket = self._by_name.get(account)
+        if bucket is None:
+            return True
+        if not bucket.admit(now_s, share, random.random()):
+            return False
+        self._counters.add(account)
+        return True
+
+    def _update_bucket(self, account):
+        now_s = self._clock()
+        bounds = self._bounds
+        excess = bounds.rate_excess * RATE_EXCESS_FRACTION
+        rate_per_s = account.rate_per_s * (1 + excess)
+        bucket = self._by_name.get(account.name)
+        if not account.rate_per_s:
+            self._by_name.pop(account.name, None)
+        elif bucket is None:
+            tolerance = bounds.rate_slack * RATE_SLACK_FRACTION
+            self._by_name[account.name] = FleetBucket(
+                rate_per_s, account.burst, tolerance, now_s
+            )
+        else:
+            bucket.set_rate(rate_per_s, account.burst, now_s)
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -1,13 +1,9 @@
 """State of one gateway instance."""
 
-import random
-from collections.abc import Mapping
-
 from chervilpitch import platform
 from chervilpitch.model import (
     FIRST_ERA,
     NO_CONFIGURATION,
-    AccountQuota,
     Configuration,
     HostRoute,
     StoreItem,
@@ -31,14 +27,13 @@
     UsageCounters,
 )
 
+from .account_buckets import AccountBuckets
 from .upstream_entries import UpstreamEntries
 
 __all__ = ["GatewayState"]
 
 log = part_logger("state")
 
-RATE_EXCESS_FRACTION = 0.4
-RATE_SLACK_FRACTION = 0.4
 UNSTATED_VERSION = 0
 """Version in answers of builds that state none."""
 
@@ -82,9 +77,7 @@
         self._contact = Contact(clock())
         self._baselines: dict[str, LatencyBaseline] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._buckets: dict[str, FleetBucket] = {}
-        self._admissions = UsageCounters()
-        self._accounts: Mapping[str, AccountQuota] = {}
+        self._buckets = AccountBuckets(bounds, clock)
         self._stop: PlannedStop | None = None
         self._in_progress = 0
 
@@ -162,25 +155,19 @@
     @property
     def buckets(self) -> dict[str, FleetBucket]:
         """Token buckets of client accounts, by name."""
-        return self._buckets
+        return self._buckets.by_name
 
     def set_admission_counters(self, counters: UsageCounters) -> None:
         """Count admitted requests in the counters given."""
-        self._admissions = counters
+        self._buckets.set_counters(counters)
 
     def admit(self, account: str, now_s: float) -> bool:
         """Return whether the rate of a client account allows one more request.
 
         The request is then counted. An account without a rate has no bucket.
         """
-        bucket = self._buckets.get(account)
-        if bucket is None:
-            return True
         share = self._contact.rate_share(now_s)
-        if not bucket.admit(now_s, share, random.random()):
-            return False
-        self._admissions.add(account)
-        return True
+        return self._buckets.admit(account, share, now_s)
 
     @property
     def is_leaving(self) -> bool:
@@ -352,11 +339,9 @@
             revision=item.revision,
             era=self.store_era,
         )
-        self._accounts = self._configuration.accounts
         self._configuration = configuration
         self._routes = routes
-        for account in configuration.accounts.values():
-            self._update_bucket(account)
+        self._buckets.update(configuration.accounts)
 
     def _outage_ended_at_s(self) -> float:
         """Return when the store was back; a new era also ends a gap between proofs."""
@@ -382,28 +367,3 @@
                 bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
             )
         return self._budgets[service]
-
-    def _update_bucket(self, account: AccountQuota):
-        now_s = self._clock()
-        bucket = self._buckets.get(account.name)
-        if account != self._accounts.get(account.name):
-            log.info(
-                "Quota in force.",
-                account=account.name,
-                rate_per_s=account.rate_per_s,
-                burst=account.burst,
-                priority=account.priority,
-            )
-        bounds = self._bounds
-        rate_per_s = account.rate_per_s * (
-            1 + bounds.rate_excess * RATE_EXCESS_FRACTION
-        )
-        if not account.rate_per_s:
-            self._buckets.pop(account.name, None)
-        elif bucket is None:
-            tolerance = bounds.rate_slack * RATE_SLACK_FRACTION
-            self._buckets[account.name] = FleetBucket(
-                rate_per_s, account.burst, tolerance, now_s
-            )
-        else:
-            bucket.set_rate(rate_per_s, account.burst, now_s)
--- a/src/chervilpitch/gateway/state_exchange.py
+++ b/src/chervilpitch/gateway/state_exchange.py
@@ -3,7 +3,6 @@
 import random
 from typing import NamedTuple
 
-from chervilpitch.model import StoreItem
 from chervilpitch.observe import part_logger
 from chervilpitch.policy import (
     READER_COUNT,
@@ -17,13 +16,12 @@
 from .peers import PeerSocket
 from .region import RegionView
 from .state import GatewayState
+from .state_answers import NO_PROOF_AGE_S, StateAnswers, stated_era
 
 __all__ = ["StateExchange"]
 
 log = part_logger("fleet")
 
-NO_PROOF_AGE_S = 1e6
-"""Age sent in an answer that carries no proof."""
 ANSWER_TIMEOUT_S = 0.45
 EXTRA_IF_OVERDUE = 1
 EXTRA_AFTER_TIMEOUT = 2
@@ -52,24 +50,6 @@
     asked_at_s: float
 
 
-class _SentEntries(NamedTuple):
-    """Entries of upstreams in an answer.
-
-    Parameters
-    ----------
-    revision : int
-        Revision of the store that they reach up to; 0 for no entries.
-    items : tuple of StoreItem
-        The entries that have changed, or all of them.
-    is_complete : bool
-        Whether the items are all entries.
-    """
-
-    revision: int
-    items: tuple[StoreItem, ...]
-    is_complete: bool
-
-
 class StateExchange:
     """Ask another instance for the store's state, and answer such questions.
 
@@ -107,6 +87,7 @@
         self._election = election
         self._socket = socket
         self._clock = clock
+        self._answers = StateAnswers(state, region, clock)
         self._last_number = 0
         self._pending: dict[int, _PendingQuestion] = {}
         self._source_index = 0
@@ -178,35 +159,14 @@
     def receive_question(
         self, message: StateQuestion, sender: str, address: str
     ) -> None:
-        """Answer another instance's question.
-
-        One that takes itself for an aggregator and is none here also gets the members
-        that were heard of recently.
-        """
-        age_s = self._state.freshness.age_s(self._clock())
-        answer = self._build_answer(message, min(age_s, NO_PROOF_AGE_S))
-        if message.is_group_member:
-            answer = self._add_members(answer, message.members_digest)
-        elif all(item.name != sender for item in self._region.other_aggregators):
-            recent = self._members.to_relay(self._clock())
-            answer = answer._replace(members=(self._members.own, *recent))
+        """Answer another instance's question."""
+        answer = self._answers.build(message, sender, self._own_reader_status())
         if self._socket.send([address], answer):
             return
         log.warning(
             "State does not fit in a datagram; replying without it.", asked_by=sender
         )
-        empty = StateAnswer(
-            message.number,
-            NO_PROOF_AGE_S,
-            answer.configuration_revision,
-            (),
-            0,
-            (),
-            False,
-            answer.entries_digest,
-            reader_status=answer.reader_status,
-        )
-        self._socket.send([address], empty)
+        self._socket.send([address], self._answers.without_state(answer))
 
     def receive_answer(self, message: StateAnswer, sender: str) -> None:
         """Apply the answer to a question of this instance."""
@@ -266,7 +226,7 @@
         replica = self._state.entry_items
         if message.entries_era == UNSTATED_ERA and replica.copied_until:
             return
-        era = _stated_era(message.entries_era, replica.era)
+        era = stated_era(message.entries_era, replica.era)
         if era < replica.era:
             return
         self._state.apply_entry_items(
@@ -331,62 +291,3 @@
         log_discovered(new)
         if new:
             self._region.refresh_soon()
-
-    def _build_answer(self, question, age_s) -> StateAnswer:
-        entries = self._entries_to_send(question)
-        return StateAnswer(
-            question.number,
-            age_s,
-            self._state.configuration_revision,
-            self._newer_configuration(question),
-            entries.revision,
-            entries.items,
-            entries.is_complete,
-            self._state.entry_items.digest,
-            entries_era=self._state.entry_items.era,
-            configuration_version=self._state.configuration.version,
-            reader_status=int(self._own_reader_status()),
-        )
-
-    def _entries_to_send(self, question) -> _SentEntries:
-        """Return the entries that the requesting instance lacks.
-
-        These are all entries if it knows an earlier era or too little of this one, and
-        none if it knows a later era than this instance.
-        """
-        replica = self._state.entry_items
-        asked_era = _stated_era(question.entries_era, replica.era)
-        if asked_era > replica.era:
-            return _SentEntries(0, (), False)
-        changed = None
-        if asked_era == replica.era and question.entries_revision:
-            changed = replica.changes_since(question.entries_revision)
-        if changed is None:
-            return _SentEntries(replica.revision, replica.items, True)
-        return _SentEntries(replica.revision, changed, False)
-
-    def _newer_configuration(self, question) -> tuple[StoreItem, ...]:
-        """Return the configuration if the question doesn't state it or a newer one."""
-        configuration = self._state.configuration_item
-        if configuration is None:
-            return ()
-        own_version = self._state.configuration.version
-        if question.configuration_version:
-            is_newer = own_version > question.configuration_version
-        else:
-            is_newer = configuration.revision > question.configuration_revision
-        return (configuration,) if is_newer else ()
-
-    def _add_members(self, answer, known_digest) -> StateAnswer:
-        """Return an answer with the list of members, if the known one is another."""
-        digest = self._region.known_digest
-        return answer._replace(
-            members_digest=digest,
-            members=self._region.known if digest != known_digest else (),
-            heard_share=self._members.heard_share(self._clock()),
-        )
-
-
-def _stated_era(era: int, own_era: int) -> int:
-    """Return an era in a message; builds that know no eras are taken to be in ours."""
-    return own_era if era == UNSTATED_ERA else era
--- a/src/chervilpitch/policy/framing.py
+++ b/src/chervilpitch/policy/framing.py
@@ -16,7 +16,7 @@
 
 
 class FramingAllowance:
-    """Pieces and bytes of one response, and whether they are more than a sound one has.
+    """Pieces and bytes of one message, and whether they are more than a sound one has.
 
     Examples
     --------
@@ -38,7 +38,7 @@
 
     @property
     def is_exceeded(self) -> bool:
-        """Whether the response is given up."""
+        """Whether there are more than a sound message has."""
         small_pieces = self._pieces - self._body_bytes // MIN_MEAN_PIECE_BYTES
         framing_bytes = self._received_bytes - 2 * self._body_bytes
         return (
--- a/src/chervilpitch/policy/reader_election.py
+++ b/src/chervilpitch/policy/reader_election.py
@@ -30,10 +30,11 @@
     others query them, and switch to the second if the first fails.
 
     A reader that the store turns away says so when it is queried. The next ones by rank
-    then read in its place, and twice as many if these fail too; it goes on trying.
-    If no reader answers in time, the others start to read one after another, by rank,
-    so that they do not all query the store at once, even if all have just started. An
-    instance that is not an aggregator gives its aggregator time to do so first.
+    then read in its place, as many as fail and at least ``READER_COUNT``; it goes on
+    trying. If no reader answers in time, the others start to read one after another,
+    by rank, so that they do not all query the store at once, even if all have just
+    started. An instance that is not an aggregator gives its aggregator time to do so
+    first.
 
     Parameters
     ----------
@@ -77,6 +78,11 @@
 
     def record_failing(self, name: str, now_s: float) -> None:
         """Record that an instance reads the store and says that its calls fail."""
+        self._failing_until_s = {
+            other: until_s
+            for other, until_s in self._failing_until_s.items()
+            if now_s < until_s
+        }
         self._failing_until_s[name] = now_s + FAILING_READER_PAUSE_S
 
     def record_reading(self, name: str) -> None:
@@ -107,11 +113,14 @@
             Instances that are not leaving, by rank; while some fail to read the store,
             the aggregators that don't, if there are any.
         """
-        able = self._able(ranked, own, now_s)
-        if len(able) == len(aggregators_of(ranked)):
+        if not self._failing_until_s:
             return peers_to_query(ranked, own)
+        aggregators = aggregators_of(ranked)
+        able = self._able(aggregators, own, now_s)
         others = [item for item in able if item.name != own.name]
-        return others or peers_to_query(ranked, own)
+        if len(able) == len(aggregators) or not others:
+            return peers_to_query(ranked, own)
+        return others
 
     def update(
         self,
@@ -143,7 +152,7 @@
         stagger_s = STAGGER_STEP_S * min(rank, MAX_STAGGER_STEPS)
         if not aggregates:
             stagger_s += GROUP_STAGGER_S
-        is_replacing = self._is_replacing(ranked, own, now_s)
+        is_replacing = self._is_replacing(aggregators, own, now_s)
         has_timed_out = self._has_timed_out(stagger_s, now_s)
         if is_replacing or (aggregates and is_isolated) or has_timed_out:
             self._fallback_until_s = now_s + FALLBACK_READ_S
@@ -157,20 +166,20 @@
         self._is_replacement = self._is_reading and not is_first_reader
         return self._is_reading
 
-    def _able(self, ranked, own, now_s) -> list[Member]:
+    def _able(self, aggregators, own, now_s) -> list[Member]:
         """Return the aggregators that may read the store, this one included."""
         return [
             item
-            for item in aggregators_of(ranked)
+            for item in aggregators
             if item.name == own.name or not self.is_failing(item.name, now_s)
         ]
 
-    def _is_replacing(self, ranked, own, now_s) -> bool:
+    def _is_replacing(self, aggregators, own, now_s) -> bool:
         """Return whether this instance reads in the place of readers that fail."""
-        if self._answered_at_s is None:
+        if self._answered_at_s is None or not self._failing_until_s:
             return False
-        able = self._able(ranked, own, now_s)
-        failing_count = len(aggregators_of(ranked)) - len(able)
+        able = self._able(aggregators, own, now_s)
+        failing_count = len(aggregators) - len(able)
         if not failing_count:
             return False
         readers = able[: max(READER_COUNT, failing_count)]
