Refuse CONNECT at once, and end an exchange whose parser pauses

Cause: after a 2xx to a CONNECT the parser of the response pauses; the receiving loop took this for an event and asked for the next one without end. Ruled out: interim responses and upgrades (bounded, or errors of the parser), a body behind the response to a HEAD (closes the connection). Evidence: of six new tests two failed before: the exchange spun until its time limit, and the request was passed on (504 for 501). Change: CONNECT gets 501, not run, and counts as rejected; a paused parser is a failure. After: the tests pass.

--- a/src/chervilpitch/gateway/http_client.py
+++ b/src/chervilpitch/gateway/http_client.py
@@ -257,6 +257,8 @@
             if event is h11.NEED_DATA:
                 await self._wait_for_data()
                 continue
+            if event is h11.PAUSED:
+                raise ExchangeError(FailureKind.MALFORMED)
             if isinstance(event, h11.ConnectionClosed):
                 raise ExchangeError(FailureKind.RESET)
             self._count(event)
--- a/src/chervilpitch/gateway/http_server.py
+++ b/src/chervilpitch/gateway/http_server.py
@@ -81,6 +81,12 @@
         self._buffers = buffers
         self._open: set[ServerConnection] = set()
         self._is_closing = False
+        self._rejected = 0
+
+    @property
+    def rejected_count(self) -> int:
+        """Number of requests so far that were rejected before they were served."""
+        return self._rejected
 
     @property
     def serve(self) -> Callable[[ServerRequest], Awaitable[ServerResponse]]:
@@ -133,6 +139,10 @@
         for connection in tuple(self._open):
             connection.check_timeout(now_s)
 
+    def count_rejected(self) -> None:
+        """Count a request that is rejected before it is served."""
+        self._rejected += 1
+
     def add(self, connection: "ServerConnection") -> None:
         """Register an open connection."""
         self._open.add(connection)
--- a/src/chervilpitch/gateway/process.py
+++ b/src/chervilpitch/gateway/process.py
@@ -235,6 +235,7 @@
                 "entries_malformed": self._state.malformed_entry_count,
                 "store_defects": self._reader.defect_count,
                 "store_calls": self._reader.call_count,
+                "requests_rejected": self._caller_server.rejected_count,
                 "upstream_connections_opened": self._pool.opened_count,
                 "upstream_responses_in_too_many_pieces": self._pool.failure_counts[
                     FailureKind.TOO_MANY_PIECES
--- a/src/chervilpitch/gateway/server_connection.py
+++ b/src/chervilpitch/gateway/server_connection.py
@@ -15,6 +15,7 @@
 
 log = part_logger("callers")
 
+UNSERVED_METHOD = b"CONNECT"
 CONNECTION_CLOSE = (b"Connection", b"close")
 CONTINUE_RESPONSE = h11.InformationalResponse(status_code=100, headers=[])
 LINGER_S = 1.0
@@ -237,6 +238,9 @@
         self._has_received_head = True
         self._allowance = FramingAllowance()
         self._accepted_body_bytes = limits.max_body_bytes
+        if head.method == UNSERVED_METHOD:
+            self._reject(HTTPStatus.NOT_IMPLEMENTED)
+            return
         if _header_size(head) > limits.max_header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
@@ -336,6 +340,7 @@
         self._release_body()
         if self._transport.is_closing():
             return
+        self._server.count_rejected()
         log.info(
             "Request rejected: invalid, too large, incomplete or body buffer full.",
             status=int(status),
--- a/tests/gateway/test_small_pieces.py
+++ b/tests/gateway/test_parsing.py
@@ -1,4 +1,4 @@
-"""Messages in small pieces: sound ones are whole, endless ones hold up nobody."""
+"""Messages on which a parser could spin: none holds up the event loop."""
 
 import asyncio
 import contextlib
@@ -6,7 +6,12 @@
 
 import pytest
 
-from chervilpitch.gateway.http_client import FailureKind
+from chervilpitch.gateway.http_client import (
+    ExchangeError,
+    FailureKind,
+    HttpRequest,
+    connect,
+)
 from chervilpitch.policy.framing import MAX_INTERIM_RESPONSES, MAX_SMALL_PIECES
 from standins.target import Behaviour, FakeTarget
 
@@ -186,3 +191,48 @@
         await asyncio.gather(*floods)
 
     run_scenario(scenario)
+
+
+def test_method_that_is_not_served_is_refused_at_once():
+    # Guards against a CONNECT that left an instance answering nothing for good.
+    async def scenario():
+        target = FakeTarget("t1")
+        harness = GatewayHarness()
+        await harness.start(target)
+        status, _, _ = await harness.send_request("/read/x", "CONNECT")
+        assert status == 501
+        assert (await harness.send_request("/read/x"))[0] == 200
+        assert [run[0] for run in target.runs] == [b"GET"]
+        assert harness.http_server.rejected_count == 1
+
+    run_scenario(scenario)
+
+
+def test_response_after_which_the_parser_pauses_is_an_error():
+    async def scenario():
+        target = FakeTarget("t1")
+        connection = await connect(await target.start(), 1.0)
+        headers = [(b"Host", b"t1"), (b"X-Chervilpitch-Target-Instance", b"t1")]
+        request = HttpRequest(b"CONNECT", b"t1:1", headers)
+        with pytest.raises(ExchangeError):
+            async with asyncio.timeout(2.0):
+                await connection.exchange(request)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("method", ["HEAD", "OPTIONS", "TRACE", "PRI"])
+def test_unusual_methods_and_upgrades_leave_the_instance_answering(method):
+    async def scenario():
+        target = FakeTarget("t1")
+        harness = GatewayHarness()
+        await harness.start(target)
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        fields = {"Connection": "Upgrade", "Upgrade": "h2c"}
+        writer.write(encode_request("/read/x", method, wait_ms=500, fields=fields))
+        async with asyncio.timeout(2.0):
+            await reader.readuntil(b"\r\n\r\n")
+            assert (await harness.send_request("/read/x"))[0] == 200
+        writer.close()
+
+    run_scenario(scenario)
