Bound the exponent of the delay with which a replacement repeats failed store calls

What callers would see: nothing at first. After 1,025 failures in a row (20 minutes without the store) the delay could not be computed any more (OverflowError), the task that follows the store ended, and the instance never read the store again. Evidence: the test failed before with OverflowError at 5,000 failures. Change: two doublings at most; the delays are as before.

--- a/src/chervilpitch/gateway/store_reader.py
+++ b/src/chervilpitch/gateway/store_reader.py
@@ -23,9 +23,9 @@
 OVERDUE_S = 0.3
 """Time after which a response counts as overdue, besides the wait of a watch."""
 RETRY_DELAY_S = 0.3
-MAX_REPLACEMENT_RETRY_DELAY_S = 1.2
-"""Longest delay of an instance that reads while the first readers fail: it may be all
-instances that the store turns away."""
+MAX_RETRY_DOUBLINGS = 2
+"""Doublings of the delay of an instance that reads while the first readers fail: it may
+be all instances that the store turns away."""
 DEFECT_RETRY_DELAY_S = 2.0
 DISCOVERY_S = 0.25
 FIRST_ANSWER_TIMEOUT_S = 0.5
@@ -216,7 +216,8 @@
         """Return the delay after a number of failures in a row."""
         if not self._gossip.is_replacement_reader:
             return RETRY_DELAY_S
-        return min(MAX_REPLACEMENT_RETRY_DELAY_S, RETRY_DELAY_S * 2 ** (failures - 1))
+        doublings = min(failures - 1, MAX_RETRY_DOUBLINGS)
+        return RETRY_DELAY_S * 2**doublings
 
     async def _read_configuration(self, connection, position) -> StorePosition | None:
         started_at_s = self._clock()
--- a/tests/gateway/test_readers_turned_away.py
+++ b/tests/gateway/test_readers_turned_away.py
@@ -184,3 +184,15 @@
             assert len(region.readers()) <= 3
 
     run_scenario(scenario)
+
+
+def test_instance_that_replaces_readers_retries_however_long_the_store_is_away():
+    async def scenario():
+        state = new_state("i0", monotonic_s)
+        gossip = Gossip(state, (), monotonic_s)
+        gossip._election._is_replacement = True
+        reader = StoreReader("127.0.0.1:9", state, gossip, monotonic_s)
+        delays_s = [reader._retry_delay_s(failures) for failures in (1, 2, 3, 5_000)]
+        assert delays_s == [0.3, 0.6, 1.2, 1.2]
+
+    run_scenario(scenario)
