State in logs and metrics what rates and repeats did, so that hypotheses on QUOTA differ

What operators saw: a client account got more than its rate, and neither logs nor metrics told admissions, repeats and late knowledge apart. Tests: the three new ones fail before.

--- a/src/chervilpitch/gateway/account_buckets.py
+++ b/src/chervilpitch/gateway/account_buckets.py
@@ -80,6 +80,20 @@
         self._counters.add(account)
         return True
 
+    def nearly_used(self, now_s: float) -> dict[str, dict[str, float]]:
+        """Return what admission depends on for the accounts whose rate is nearly used.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        """
+        return {
+            name: bucket.log_fields(now_s) | {"own": bucket.admitted}
+            for name, bucket in self._by_name.items()
+            if bucket.is_low(now_s)
+        }
+
     def _update_bucket(self, account):
         now_s = self._clock()
         bounds = self._bounds
--- a/src/chervilpitch/gateway/forward.py
+++ b/src/chervilpitch/gateway/forward.py
@@ -13,7 +13,7 @@
 from .pool import ConnectionPool
 from .state import GatewayState
 
-__all__ = ["ForwardResult", "Forwarder"]
+__all__ = ["ForwardResult", "Forwarder", "StartedAttempt"]
 
 log = part_logger("forward")
 
@@ -24,6 +24,21 @@
 MAX_UPSTREAMS_TRIED = 5
 
 
+class StartedAttempt(NamedTuple):
+    """An attempt to serve a request at an upstream.
+
+    Parameters
+    ----------
+    upstream : str
+        Name of the upstream.
+    started_at_s : float
+        Monotonic time in seconds; the request is sent once a connection is open.
+    """
+
+    upstream: str
+    started_at_s: float
+
+
 class ForwardResult(NamedTuple):
     """Result of forwarding a request.
 
@@ -35,8 +50,8 @@
         Why there is no response.
     may_have_run : bool
         Whether an upstream may have run the request.
-    upstreams : tuple of str
-        Names of the upstreams tried, in order.
+    attempts : tuple of StartedAttempt
+        Attempts that were started, in order.
     retry_after_s : float or None
         Seconds after which the caller may retry, if a retry may succeed.
     """
@@ -44,7 +59,7 @@
     response: ClientResponse | None
     refusal: RefusalKind | None
     may_have_run: bool
-    upstreams: tuple[str, ...]
+    attempts: tuple[StartedAttempt, ...] = ()
     retry_after_s: float | None = None
 
 
@@ -54,11 +69,30 @@
     def __init__(self, end_signal: asyncio.Future) -> None:
         self.end_signal = end_signal
         self.running: dict[asyncio.Task, Choice] = {}
-        self.tried_upstreams: list[str] = []
+        self.attempts: list[StartedAttempt] = []
         self.sent_count = 0
         self.may_have_run = False
         self.fallback: ClientResponse | None = None
 
+    @property
+    def tried_upstreams(self) -> frozenset[str]:
+        """Names of the upstreams at which an attempt was started."""
+        return frozenset(attempt.upstream for attempt in self.attempts)
+
+    def response_result(self, response: ClientResponse) -> ForwardResult:
+        """Return the result that delivers a response of an upstream."""
+        return ForwardResult(response, None, True, tuple(self.attempts))
+
+    def refusal_result(
+        self,
+        kind: RefusalKind,
+        may_have_run: bool,
+        retry_after_s: float | None = None,
+    ) -> ForwardResult:
+        """Return the result that refuses the request."""
+        attempts = tuple(self.attempts)
+        return ForwardResult(None, kind, may_have_run, attempts, retry_after_s)
+
 
 class Forwarder:
     """Send requests to upstreams; retry and hedge where the route allows it.
@@ -131,9 +165,7 @@
     ) -> ForwardResult | None:
         """Record the result of an attempt; return the final result if it is one."""
         if result.outcome is AttemptOutcome.SERVED:
-            return ForwardResult(
-                result.response, None, True, tuple(progress.tried_upstreams)
-            )
+            return progress.response_result(result.response)
         now_s = self._clock()
         log.info(
             "Attempt failed.",
@@ -161,7 +193,7 @@
             outgoing.service,
             route.kind,
             self._state.latency_baseline(route),
-            frozenset(progress.tried_upstreams),
+            progress.tried_upstreams,
             now_s,
             iter(random.random, None),
         )
@@ -175,7 +207,7 @@
         if progress.sent_count:
             self._state.retry_budget(outgoing.service).count_retry(now_s)
         progress.sent_count += 1
-        progress.tried_upstreams.append(choice.upstream.entry.name)
+        progress.attempts.append(StartedAttempt(choice.upstream.entry.name, now_s))
         task = asyncio.get_running_loop().create_task(
             self._runner.run(outgoing, choice)
         )
@@ -183,7 +215,7 @@
         return None
 
     def _refusal_of_attempt(self, outgoing, progress, now_s) -> RefusalKind | None:
-        if len(progress.tried_upstreams) >= MAX_UPSTREAMS_TRIED:
+        if len(progress.attempts) >= MAX_UPSTREAMS_TRIED:
             return RefusalKind.UPSTREAM_UNREACHABLE
         if progress.may_have_run and not outgoing.route.kind.is_idempotent:
             return RefusalKind.UPSTREAM_FAILED
@@ -247,27 +279,24 @@
             "Request hedged: also trying another upstream.",
             request=outgoing.request_id,
             silent=first.entry.name,
-            second=progress.tried_upstreams[-1],
+            second=progress.attempts[-1].upstream,
             suspicion=round(first.failure_probability(now_s), 3),
             age_ms=_milliseconds(now_s - outgoing.request.arrived_at_s),
         )
 
     def _unfinished_result(self, progress, kind: RefusalKind) -> ForwardResult:
-        tried = tuple(progress.tried_upstreams)
-        has_run = bool(progress.running) or progress.may_have_run
         if progress.fallback is not None:
-            return ForwardResult(progress.fallback, None, True, tried)
-        return ForwardResult(None, kind, has_run, tried)
+            return progress.response_result(progress.fallback)
+        has_run = bool(progress.running) or progress.may_have_run
+        return progress.refusal_result(kind, has_run)
 
     def _failure_result(self, progress, refusal) -> ForwardResult:
-        tried = tuple(progress.tried_upstreams)
         if progress.fallback is not None:
-            return ForwardResult(progress.fallback, None, True, tried)
+            return progress.response_result(progress.fallback)
         if progress.may_have_run:
-            return ForwardResult(None, RefusalKind.UPSTREAM_FAILED, True, tried)
-        base_s = retry_after_s(refusal)
-        retry_s = base_s * (0.5 + random.random())
-        return ForwardResult(None, refusal, False, tried, retry_s)
+            return progress.refusal_result(RefusalKind.UPSTREAM_FAILED, True)
+        retry_s = retry_after_s(refusal) * (0.5 + random.random())
+        return progress.refusal_result(refusal, False, retry_s)
 
 
 def _milliseconds(seconds: float) -> int:
--- a/src/chervilpitch/gateway/metrics.py
+++ b/src/chervilpitch/gateway/metrics.py
@@ -1,5 +1,8 @@
 """Prometheus metrics of one gateway instance."""
 
+import itertools
+from collections.abc import Mapping
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -16,6 +19,7 @@
 MAX_ROUTE_LABELS = 64
 OTHER_ROUTES_LABEL = "other"
 SERVED_REASON = "served"
+MAX_RATE_LABELS = 16
 
 
 class GatewayMetrics:
@@ -42,6 +46,18 @@
             ("name",),
             registry=self._registry,
         )
+        self._rates = Gauge(
+            "chervilpitch_rate",
+            "Values of client accounts whose rate is nearly used, by name.",
+            ("account", "name"),
+            registry=self._registry,
+        )
+        self._attempts = Counter(
+            "chervilpitch_attempts",
+            "Attempts started at upstreams, the first ones of requests and repeats.",
+            ("kind",),
+            registry=self._registry,
+        )
         self._settings = Gauge(
             "chervilpitch_settings",
             "Digest of the settings file as it was read, and as it is on disk.",
@@ -71,6 +87,19 @@
         self._requests.labels(label, str(int(status)), reason).inc()
         self._latency.labels(label).observe(duration_s)
 
+    def record_attempts(self, count: int) -> None:
+        """Record the attempts that were started for a request that has ended."""
+        if count:
+            self._attempts.labels("first").inc()
+            self._attempts.labels("repeat").inc(count - 1)
+
+    def set_rates(self, rates: Mapping[str, Mapping[str, float]]) -> None:
+        """Set the values of client accounts by name, for a limited number of them."""
+        self._rates.clear()
+        for account, values in itertools.islice(rates.items(), MAX_RATE_LABELS):
+            for name, value in values.items():
+                self._rates.labels(account, name).set(value)
+
     def set_state_values(self, values: dict[str, float]) -> None:
         """Set gauges of the instance's state by name."""
         for name, value in values.items():
--- a/src/chervilpitch/gateway/request_path.py
+++ b/src/chervilpitch/gateway/request_path.py
@@ -114,7 +114,9 @@
         admitted = self._admit(request, metadata, caller_timeout_s)
         if admitted.is_err():
             refusal = admitted.unwrap_err()
-            result = ForwardResult(None, refusal.kind, False, (), refusal.retry_after_s)
+            result = ForwardResult(
+                None, refusal.kind, False, retry_after_s=refusal.retry_after_s
+            )
             labels = _RequestLabels(refusal.route, refusal.account)
             return self._finish(request, metadata, labels, result)
         route, account = admitted.unwrap()
@@ -199,6 +201,7 @@
         self._metrics.record_request(
             labels.route, response.status, result.refusal, duration_s
         )
+        self._metrics.record_attempts(len(result.attempts))
         log.info(
             "Served." if result.refusal is None else "Refused.",
             id=metadata.request_id,
@@ -207,7 +210,11 @@
             status=int(response.status),
             refusal=result.refusal or "",
             may_have_run=result.may_have_run,
-            upstreams=list(result.upstreams),
+            upstreams=[attempt.upstream for attempt in result.attempts],
+            started_ms=[
+                _milliseconds(attempt.started_at_s - request.arrived_at_s)
+                for attempt in result.attempts
+            ],
             took_ms=round(duration_s * 1000, 1),
             version=self._state.configuration.version,
             proof_age_ms=_milliseconds(self._state.freshness.age_s(now_s)),
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -157,6 +157,10 @@
         """Token buckets of client accounts, by name."""
         return self._buckets.by_name
 
+    def rates_nearly_used(self) -> dict[str, dict[str, float]]:
+        """Return values of the client accounts whose rate is nearly used, by name."""
+        return self._buckets.nearly_used(self._clock())
+
     def set_admission_counters(self, counters: UsageCounters) -> None:
         """Count admitted requests in the counters given."""
         self._buckets.set_counters(counters)
--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -62,6 +62,7 @@
         self._level = 0.0
         self._refilled_at_s = now_s
         self._admitted = 0
+        self._charged = 0
         self._sources: dict[str, _Source] = {}
         self._used_rate_per_s = 0.0
         self._used_at_s = now_s
@@ -122,11 +123,16 @@
         return min(MAX_RETRY_AFTER_S, max(0.05, wait_s))
 
     def log_fields(self, now_s: float) -> dict[str, float]:
-        """Return the values that admission depends on, as fields of a log record."""
+        """Return the values that admission depends on, as fields of a log record.
+
+        ``charged`` counts what was admitted by all known sources, so that instances
+        can be compared.
+        """
         return {
-            "tokens": round(self._level, 1),
+            "available": round(self._level, 1),
             "unreported": round(self._unreported(now_s), 1),
             "sources": len(self._sources),
+            "charged": self._charged,
         }
 
     def add_report(
@@ -178,6 +184,7 @@
         return self._used_rate_per_s * math.exp(-elapsed_s / RATE_DECAY_S)
 
     def _add_use(self, count, now_s):
+        self._charged += count
         self._used_rate_per_s = self._used_per_s(now_s) + count / RATE_DECAY_S
         self._used_at_s = now_s
         if self._used_rate_per_s > self._rate_per_s:
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -3,6 +3,7 @@
 import pytest
 
 from chervilpitch.gateway.messages import source_of
+from chervilpitch.gateway.metrics import GatewayMetrics
 from chervilpitch.gateway.rates import COUNTER_STARTUP_PERIOD_S, RateSharing
 from chervilpitch.model import StoreItem
 from chervilpitch.platform import CONFIGURATION_KEY
@@ -43,7 +44,7 @@
     def level(self):
         bucket = self.state.buckets[ACCOUNT]
         bucket.is_low(self.now_s)
-        return bucket.log_fields(self.now_s)["tokens"]
+        return bucket.log_fields(self.now_s)["available"]
 
 
 @pytest.mark.parametrize(
@@ -99,3 +100,17 @@
     harness.state.buckets[ACCOUNT].is_low = None
     assert not harness.rates.is_report_urgent()
     assert not harness.rates.is_region_report_urgent()
+
+
+def test_metrics_show_what_is_known_of_a_rate_that_is_nearly_used():
+    harness = RateSharingHarness()
+    assert not harness.state.rates_nearly_used()[ACCOUNT]["own"]
+    harness.now_s += 5.0
+    assert harness.state.rates_nearly_used() == {}
+    assert all(harness.admit() for _ in range(6))
+    rates = harness.state.rates_nearly_used()
+    assert (rates[ACCOUNT]["own"], rates[ACCOUNT]["charged"]) == (6, 6)
+    metrics = GatewayMetrics()
+    metrics.set_rates(rates)
+    expected = f'chervilpitch_rate{{account="{ACCOUNT}",name="charged"}} 6.0'
+    assert expected in metrics.render().decode()
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -180,6 +180,25 @@
     run_scenario(scenario)
 
 
+def test_log_states_when_each_attempt_began():
+    async def scenario():
+        harness = GatewayHarness()
+        await harness.start(FakeTarget("t1", Behaviour.RESET, 0.05))
+        harness.targets.append(FakeTarget("t2", Behaviour.RESET, 0.05))
+        await harness.targets[-1].start()
+        harness.apply_entries()
+        with capture_logs() as lines:
+            await harness.send_request("/read/x")
+        (line,) = [line for line in lines if line["event"] == "Refused."]
+        first_ms, second_ms = line["started_ms"]
+        assert len(line["upstreams"]) == 2
+        assert first_ms < 50 <= second_ms < line["took_ms"]
+        text = harness.metrics.render().decode()
+        assert 'attempts_total{kind="repeat"} 1.0' in text
+
+    run_scenario(scenario)
+
+
 def test_hanging_request_gets_a_504_at_the_route_timeout():
     async def scenario():
         harness = GatewayHarness()
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from chervilpitch.observe.logs import SECRET_NAME_PATTERN
 from chervilpitch.policy import Contact, FleetBucket, share_heard
 
 STEP_S = 0.02
@@ -222,3 +223,8 @@
 def test_log_fields_do_not_replace_those_of_every_line():
     fields = FleetBucket(10.0, 10.0, 0.0, 0.0).log_fields(10.0)
     assert not fields.keys() & {"event", "level", "timestamp"}
+
+
+def test_log_fields_are_not_redacted_as_secrets():
+    fields = FleetBucket(10.0, 10.0, 0.0, 0.0).log_fields(10.0)
+    assert not [name for name in fields if SECRET_NAME_PATTERN.search(name)]
