--- a/tests/gateway/region_simulation.py
+++ b/tests/gateway/region_simulation.py
@@ -13,7 +13,9 @@
 
 from .harness import configuration, encode_json, new_state
 
+STARTED_AT_S = 100.0
 STEP_S = 0.05
+MS_PER_S = 1_000
 DELAY_S = 0.002
 DOMAINS = 3
 SEEDS_PER_REGION = 3
@@ -36,17 +38,20 @@
         Share of datagrams that are lost.
     regions : tuple of str
         Regions, to which the instances belong in turn.
+    bounds : Bounds, optional
+        Bounds that the platform promises to its users.
     """
 
-    def __init__(self, count, seed, loss=0.0, regions=("north",)):
+    def __init__(self, count, seed, loss=0.0, regions=("north",), bounds=None):
         random.seed(seed)
         self._rng = random.Random(seed)
         self._loss = loss
         self._regions = regions
+        self._bounds = bounds
         self._steps = 0
         self._queue = []
         self._order = itertools.count()
-        self.now_s = 100.0
+        self.now_s = STARTED_AT_S
         self.received = Counter()
         self.is_store_up = True
         self.turned_away = set()
@@ -54,17 +59,20 @@
         self.unreachable = set()
         self.gossips = {}
         self.states = {}
+        self._numbers = {}
         self.paused = set()
         for number in range(count):
             self._start(f"i{number}", number)
 
-    def _start(self, name, number):
+    def _start(self, name, number, incarnation=1):
         position, index = divmod(number, len(self._regions))
         region = self._regions[index]
         state = new_state(
             name,
             lambda: self.now_s,
-            region=region,
+            self._bounds,
+            incarnation,
+            region,
             failure_domain=f"{region}-{position % DOMAINS}",
         )
         seed_count = SEEDS_PER_REGION * len(self._regions)
@@ -75,6 +83,7 @@
         )
         self.gossips[name] = gossip
         self.states[name] = state
+        self._numbers[name] = number
 
     def _send(self, sender, addresses, message):
         for address in addresses:
@@ -88,6 +97,11 @@
         """Stop an instance without a word."""
         del self.gossips[name]
 
+    def start_again(self, name):
+        """Start an instance that was stopped, without what it knew."""
+        incarnation = 1 + round((self.now_s - STARTED_AT_S) * MS_PER_S)
+        self._start(name, self._numbers[name], incarnation)
+
     def run(self, duration_s):
         """Run all instances for a duration in seconds."""
         for _ in range(round(duration_s / STEP_S)):
