Count what instances take while their aggregator or their region's reporter is gone

What callers saw: QUOTA at scale (users' record): 355 runs of an account in 5 s, where 335 are allowed. Cause: silence was taken for no use. (1) The use assumed of a source since its last report shrank again after 0.6 s, so that an instance whose aggregator had ended saw a full bucket and admitted everything. (2) When the instance that reports for a region ended, nobody did so for 3 s, others went on sending to it for up to 12 s, and its successor's counters began anew: what the region took meanwhile was never charged elsewhere. Ruled out: bursts of new buckets (instances that had just started admitted 6 of 65 and 8 of 28 in the first two half seconds). Change: assumed use is an integral that comes back only slowly; every source is heard at short intervals while a rate is in use, also without news. The first aggregator by rank that is not silent (0.9 s) reports for its region, continues the counters that it has followed, and goes to the reporters last heard of. An instance that misses its aggregator or a region admits a share of the requests on a rate that is overused. Overuse begins at 1.2 times the rate, as reports come in lumps, and lasts while 0.9 times is used. Builds that don't state a region are heard by their source; they send nothing while they have no news.

--- a/src/chervilpitch/gateway/evidence.py
+++ b/src/chervilpitch/gateway/evidence.py
@@ -12,11 +12,13 @@
     SourcedEvidence,
     group_source_of,
     others_source_of,
+    region_of,
     source_of,
 )
 from .peers import PeerSocket
 from .rates import RateSharing
 from .region import RegionView
+from .region_reporters import RegionReporters
 from .state import GatewayState
 
 __all__ = ["EvidenceExchange"]
@@ -57,6 +59,7 @@
         self._socket = socket
         self._clock = clock
         self._rates = RateSharing(state, clock)
+        self._reporters = RegionReporters(state, region, self._rates, clock)
         self._totals = ReportTotals()
         self._others_totals = ReportTotals()
         self._relayed: list[SourcedEvidence] = []
@@ -87,13 +90,14 @@
             self._relay_to_group(now_s)
 
     def send_region_usage(self) -> None:
-        """Send this region's usage to other regions if this instance ranks first.
+        """Send this region's usage to other regions if this instance reports it.
 
         Counters that changed are sent once per interval, or without delay while the
-        bucket of one is low. In each region, the instance that ranks first receives
-        them and passes them on.
+        bucket of one is low. In each region, the instance that reports receives them
+        and passes them on. The other aggregators of this region receive them too, to
+        continue them if this instance stops.
         """
-        if not self._region.is_first:
+        if not self._reporters.is_own_turn():
             return
         now_s = self._clock()
         is_urgent = self._rates.is_region_report_urgent()
@@ -104,12 +108,11 @@
             self._all_region_usage_due_at_s = now_s + ALL_REGION_USAGE_INTERVAL_S
             self._rates.send_region_usage_again()
         usages = self._rates.take_unsent_region_usage()
-        if not usages:
+        if not usages and not self._rates.is_in_use():
             return
-        own = self._members.own
-        message = RegionUsage(source_of(own.name, own.incarnation), usages)
-        for members in self._members.in_other_regions(now_s).values():
-            self._send(members[:1], message)
+        message = RegionUsage(self._rates.region_source, usages)
+        self._send(self._reporters.elsewhere(), message)
+        self._send(self._region.other_aggregators, message)
 
     def receive_from_aggregator(
         self, message: Evidence, sender: str, incarnation: int
@@ -117,6 +120,7 @@
         """Record the sums of another aggregator, and add them up for the group."""
         source = group_source_of(sender, incarnation)
         now_s = self._clock()
+        self._reporters.record_aggregator(sender)
         self._others_totals.add(source, message.upstreams, now_s)
         is_urgent = self._state.upstreams.add_reports(message.upstreams, source, now_s)
         self._rates.record_aggregate_usage(source, message.usages, message.is_continued)
@@ -155,17 +159,26 @@
         own = self._members.own
         own_source = source_of(own.name, own.incarnation)
         now_s = self._clock()
+        self._rates.record_relay()
         for item in message.items:
             if item.source != own_source:
                 self._state.upstreams.add_reports(item.upstreams, item.source, now_s)
-                self._record_relayed_usage(item)
+                self._record_relayed_usage(item, sender)
 
     def receive_from_region(self, message: RegionUsage, sender: str) -> None:
-        """Record the usage of another region, and pass it on within this one."""
-        self._rates.record_summed_usage(message.source, message.usages)
+        """Record the usage of another region, and pass it on within this one.
+
+        That of this region is continued if its reporter stops.
+        """
+        if region_of(message.source) == self._members.own.region:
+            if not self._reporters.is_own_turn():
+                self._rates.follow_region_usage(message.source, message.usages)
+            return
+        self._rates.record_region_usage(message.source, message.usages)
         self._keep(SourcedEvidence(message.source, (), message.usages, is_sum=True))
         self._is_relay_urgent |= self._has_low_account(message.usages)
         if all(member.name != sender for member in self._region.ranked):
+            self._reporters.record_reporter(sender)
             self._send(self._region.other_aggregators, message)
 
     def _send_to_aggregators(self, own_source, now_s):
@@ -181,7 +194,7 @@
         is_continued = self._rates.is_continued
         if reports or usages:
             self._keep(SourcedEvidence(own_source, reports, usages, is_continued))
-        if sums or usage_sums:
+        if sums or usage_sums or self._rates.is_in_use():
             message = Evidence(sums, usage_sums, is_continued)
             self._send(self._region.other_aggregators, message)
             self._sent_at_s = now_s
@@ -215,7 +228,7 @@
         addresses = self._region.group.addresses(now_s).values()
         if addresses:
             self._keep_others(now_s)
-        if addresses and self._relayed:
+        if addresses and (self._relayed or self._rates.is_in_use()):
             message = RelayedEvidence(tuple(self._relayed))
             self._socket.send(list(addresses), message)
             self._relayed_at_s = now_s
@@ -231,9 +244,11 @@
         if reports or usages:
             self._relayed.append(SourcedEvidence(source, reports, usages, is_sum=True))
 
-    def _record_relayed_usage(self, item: SourcedEvidence):
-        if item.is_sum:
+    def _record_relayed_usage(self, item: SourcedEvidence, sender: str):
+        if item.source.startswith(f"{sender}/"):
             self._rates.record_summed_usage(item.source, item.usages)
+        elif item.is_sum:
+            self._rates.record_region_usage(item.source, item.usages)
         else:
             self._rates.record_relayed_usage(
                 item.source, item.usages, item.is_continued
--- a/src/chervilpitch/gateway/messages.py
+++ b/src/chervilpitch/gateway/messages.py
@@ -18,9 +18,12 @@
     "group_source_of",
     "incarnation_of",
     "others_source_of",
+    "region_of",
+    "region_source_of",
     "source_of",
 ]
 
+REGION_MARK = "/region/"
 UNSTATED_ERA = -1
 """Era in messages of builds that don't know eras."""
 
@@ -79,6 +82,38 @@
     return source_of(f"{aggregator}/others", incarnation)
 
 
+def region_source_of(instance: str, region: str, incarnation: int) -> str:
+    """Return the name under which an instance counts the requests of its region.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    region : str
+        Name of the region.
+    incarnation : int
+        Start time of its process in Unix milliseconds.
+
+    Examples
+    --------
+    >>> region_source_of("front-1", "north", 1700000000000)
+    'front-1/region/north:1700000000000'
+    """
+    return source_of(f"{instance}{REGION_MARK}{region}", incarnation)
+
+
+def region_of(source: str) -> str:
+    """Return the region whose requests a source counts; empty if it states none.
+
+    Examples
+    --------
+    >>> region_of("front-1/region/north:1700000000000"), region_of("front-1:17")
+    ('north', '')
+    """
+    name = source.rpartition(":")[0]
+    return name.partition(REGION_MARK)[2]
+
+
 def incarnation_of(source: str) -> int:
     """Return the start time of a source's instance in Unix milliseconds.
 
@@ -183,13 +218,13 @@
 
 
 class RegionUsage(NamedTuple):
-    """Requests that the instances of a region have admitted together.
+    """Tokens that the instances of a region have taken together.
 
     Parameters
     ----------
     source : str
-        Incarnation that has added up the counters, as :func:`source_of` names it;
-        the counters of a new incarnation start at zero.
+        Incarnation that began the counters, as :func:`region_source_of` names it.
+        Another instance that reports in its place continues them under this name.
     usages : tuple of AccountUsage
         Counters of client accounts.
     """
--- a/src/chervilpitch/gateway/rates.py
+++ b/src/chervilpitch/gateway/rates.py
@@ -2,9 +2,14 @@
 
 from collections.abc import Iterable
 
-from chervilpitch.policy import AccountUsage, ReportedUsage, UsageCounters
-
-from .messages import incarnation_of
+from chervilpitch.policy import (
+    AccountUsage,
+    ContinuedUsage,
+    ReportedUsage,
+    UsageCounters,
+)
+
+from .messages import incarnation_of, region_of, region_source_of
 from .state import GatewayState
 
 __all__ = ["RateSharing"]
@@ -32,6 +37,10 @@
         self._group = UsageCounters(including=self._region)
         self._others = UsageCounters(including=self._region)
         self._own = UsageCounters(including=self._group)
+        own = state.members.own
+        self._continued_region = ContinuedUsage(
+            self._region, region_source_of(own.name, own.region, own.incarnation)
+        )
         self._group_reports = ReportedUsage(self._group)
         self._others_reports = ReportedUsage(self._others)
         state.set_admission_counters(self._own)
@@ -39,6 +48,7 @@
         self._aggregator = ""
         self._is_continued = False
         self._has_moved = False
+        self._relayed_sources: set[str] = set()
         self._started_at_s = clock()
 
     @property
@@ -62,6 +72,8 @@
         if aggregator != self._aggregator:
             self._is_continued = self._is_continued or self._own.has_sent
             self._has_moved = self._has_moved or not self._is_starting()
+            self._relayed_sources.clear()
+            self._record_aggregator_change(aggregator)
         self._aggregator = aggregator
         receivers = frozenset(names)
         if receivers - self._receivers:
@@ -125,8 +137,27 @@
         """
         is_new = self._started_no_earlier(source)
         is_new = is_new and not is_continued and not self._has_moved
+        self._relayed_sources.add(source)
         self._record_usage(source, usages, is_new)
 
+    def record_relay(self) -> None:
+        """Record that this instance's aggregator was heard.
+
+        What it does not mention of its group has not changed.
+        """
+        now_s = self._clock()
+        self._state.heard_reports.record_aggregator(now_s)
+        for source in self._relayed_sources:
+            self._state.record_usage_source(source, now_s)
+
+    def record_region_usage(
+        self, source: str, usages: tuple[AccountUsage, ...]
+    ) -> None:
+        """Record the sums of another region; see :meth:`record_summed_usage`."""
+        region = region_of(source) or source
+        self._state.heard_reports.record_region(region, self._clock())
+        self.record_summed_usage(source, usages)
+
     def record_summed_usage(
         self, source: str, usages: tuple[AccountUsage, ...]
     ) -> None:
@@ -148,7 +179,9 @@
 
     def take_unsent_usage(self) -> tuple[AccountUsage, ...]:
         """Return own counters that changed since the last call, and mark them sent."""
-        return self._own.take_unsent()
+        usages = self._own.take_unsent()
+        self._record_use(usages)
+        return usages
 
     def take_unsent_group_usage(self) -> tuple[AccountUsage, ...]:
         """Return the group's counters that changed since the last call.
@@ -165,9 +198,25 @@
         """Return all of the other groups' counters at the next call."""
         self._others.mark_all_unsent()
 
+    @property
+    def region_source(self) -> str:
+        """Name under which the counters of the region are reported."""
+        return self._continued_region.source
+
+    @property
+    def is_following_region(self) -> bool:
+        """Whether this instance could go on reporting in the place of another."""
+        return self._continued_region.is_following
+
+    def follow_region_usage(
+        self, source: str, usages: tuple[AccountUsage, ...]
+    ) -> None:
+        """Continue the counters that another instance reports for this region."""
+        self._continued_region.follow(source, usages)
+
     def take_unsent_region_usage(self) -> tuple[AccountUsage, ...]:
         """Return the counters of the region that changed since the last call."""
-        return self._region.take_unsent()
+        return self._continued_region.take_unsent()
 
     def send_region_usage_again(self) -> None:
         """Return all counters of the region at the next call."""
@@ -186,6 +235,20 @@
         """Return whether admissions that other regions don't know could do so."""
         return any(self.is_low(account) for account in self._region.unsent)
 
+    def is_in_use(self) -> bool:
+        """Return whether tokens were taken recently, here or elsewhere."""
+        return self._state.heard_reports.is_in_use(self._clock())
+
+    def _record_aggregator_change(self, aggregator):
+        if not aggregator:
+            self._state.heard_reports.end_aggregator()
+        elif not self._aggregator:
+            self._state.heard_reports.record_aggregator(self._clock())
+
+    def _record_use(self, usages):
+        if usages:
+            self._state.heard_reports.record_use(self._clock())
+
     def _is_starting(self) -> bool:
         return self._clock() < self._started_at_s + COUNTER_STARTUP_PERIOD_S
 
@@ -199,7 +262,9 @@
 
     def _record_usage(self, source, usages, started_no_earlier):
         now_s = self._clock()
+        self._record_use(usages)
         for usage in usages:
             bucket = self._state.buckets.get(usage.account)
             if bucket is not None:
                 bucket.add_report(source, usage.admitted, now_s, started_no_earlier)
+        self._state.record_usage_source(source, now_s)
--- a/src/chervilpitch/gateway/state.py
+++ b/src/chervilpitch/gateway/state.py
@@ -14,6 +14,7 @@
     FleetBucket,
     Freshness,
     FreshnessLimits,
+    HeardReports,
     ItemReplica,
     LatencyBaseline,
     Location,
@@ -75,6 +76,7 @@
         )
         self._freshness = Freshness(limits)
         self._contact = Contact(clock())
+        self._heard_reports = HeardReports()
         self._baselines: dict[str, LatencyBaseline] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._buckets = AccountBuckets(bounds, clock)
@@ -116,6 +118,11 @@
         """Contact with the region and the store."""
         return self._contact
 
+    @property
+    def heard_reports(self) -> HeardReports:
+        """When reports of others on the use of rates were heard."""
+        return self._heard_reports
+
     @property
     def store_calls(self) -> StoreCalls:
         """Whether the store answers the calls of this instance."""
@@ -168,12 +175,17 @@
     def allows_attempt(self, account: str, now_s: float) -> bool:
         """Return whether the rate of a client account allows one more attempt."""
         share = self._contact.rate_share(now_s)
-        return self._buckets.allows(account, share, now_s)
+        heard_share = self._heard_reports.share(now_s)
+        return self._buckets.allows(account, share, heard_share, now_s)
 
     def take_token(self, account: str, now_s: float) -> None:
         """Take a token of a client account for an attempt, available or not."""
         self._buckets.take(account, now_s)
 
+    def record_usage_source(self, source: str, now_s: float) -> None:
+        """Record that a source of usage counters was heard, whatever it reported."""
+        self._buckets.record_heard(source, now_s)
+
     @property
     def is_leaving(self) -> bool:
         """Whether a stop has begun."""
--- a/src/chervilpitch/policy/__init__.py
+++ b/src/chervilpitch/policy/__init__.py
@@ -12,6 +12,7 @@
 from .failure_estimate import FailureEstimate
 from .framing import FramingAllowance, ParsingTurn
 from .freshness import Freshness, FreshnessLimits
+from .heard_reports import HeardReports
 from .isolation import Contact, rate_share, share_heard
 from .latency import LatencyBaseline
 from .listing import UpstreamListing
@@ -39,9 +40,10 @@
 from .store_calls import ReaderStatus, StoreCalls, StoreStream
 from .store_era import StoreEra
 from .upstream_state import UpstreamReport, UpstreamState
-from .usage import AccountUsage, ReportedUsage, UsageCounters
+from .usage import AccountUsage, ContinuedUsage, ReportedUsage, UsageCounters
 
 __all__ = [
+    "HeardReports",
     "OTHER_REGION_ALIVE_S",
     "READER_COUNT",
     "AccountUsage",
@@ -65,6 +67,7 @@
     "ReaderElection",
     "ReaderStatus",
     "ReportTotals",
+    "ContinuedUsage",
     "ReportedUsage",
     "RetryBudget",
     "RouteTable",
--- /dev/null
+++ b/src/chervilpitch/policy/heard_reports.py
@@ -0,0 +1,87 @@
+"""Share of the use of rates that reports arrive of.
+
+While rates are in use, every source of reports is heard at short intervals, also if it
+has nothing new to say. An instance that misses those of its aggregator knows of nobody
+else's use, and one that misses those of a region knows nothing of that region's.
+"""
+
+__all__ = ["HeardReports"]
+
+USE_MEMORY_S = 5.0
+AGGREGATOR_SILENCE_S = 0.4
+REGION_SILENCE_S = 0.7
+SHARE_WITHOUT_AGGREGATOR = 0.1
+
+
+class HeardReports:
+    """When reports on the use of rates were heard, and from where.
+
+    Examples
+    --------
+    >>> reports = HeardReports()
+    >>> reports.record_use(10.0)
+    >>> reports.record_region("south", 10.5)
+    >>> reports.share(11.1), reports.share(11.3)
+    (1.0, 0.5)
+    """
+
+    def __init__(self) -> None:
+        self._used_at_s = float("-inf")
+        self._in_use_from_s = float("-inf")
+        self._aggregator_heard_at_s: float | None = None
+        self._regions_heard_at_s: dict[str, float] = {}
+
+    @property
+    def in_use_from_s(self) -> float:
+        """Monotonic time in seconds from which tokens were taken again."""
+        return self._in_use_from_s
+
+    def record_use(self, now_s: float) -> None:
+        """Record that tokens were taken, here or elsewhere."""
+        if not self.is_in_use(now_s):
+            self._in_use_from_s = now_s
+        self._used_at_s = now_s
+
+    def record_aggregator(self, now_s: float) -> None:
+        """Record that this instance's aggregator was heard, or has just been chosen."""
+        self._aggregator_heard_at_s = now_s
+
+    def end_aggregator(self) -> None:
+        """Record that this instance has no aggregator, as it is one itself."""
+        self._aggregator_heard_at_s = None
+
+    def record_region(self, region: str, now_s: float) -> None:
+        """Record that the sums of another region were heard."""
+        self._regions_heard_at_s[region] = now_s
+
+    def is_in_use(self, now_s: float) -> bool:
+        """Return whether tokens were taken recently, here or elsewhere.
+
+        Others then need to hear from this instance also if it has nothing new to
+        report.
+        """
+        return now_s < self._used_at_s + USE_MEMORY_S
+
+    def share(self, now_s: float) -> float:
+        """Return the share of the others' use that reports arrive of."""
+        if not self.is_in_use(now_s):
+            return 1.0
+        heard_at_s = self._aggregator_heard_at_s
+        if (
+            heard_at_s is not None
+            and self._silent_s(heard_at_s, now_s) > AGGREGATOR_SILENCE_S
+        ):
+            return SHARE_WITHOUT_AGGREGATOR
+        known = [
+            heard_at_s
+            for heard_at_s in self._regions_heard_at_s.values()
+            if now_s - heard_at_s < USE_MEMORY_S
+        ]
+        silent = sum(
+            self._silent_s(heard_at_s, now_s) > REGION_SILENCE_S for heard_at_s in known
+        )
+        return 1.0 - silent / (len(known) + 1)
+
+    def _silent_s(self, heard_at_s, now_s) -> float:
+        """Return the seconds of silence, which is none while no rate is in use."""
+        return now_s - max(heard_at_s, self._in_use_from_s)
--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -1,17 +1,27 @@
 """Fleet-wide rate limits of client accounts, without a coordinator."""
 
 import math
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 __all__ = ["FleetBucket"]
 
+NEVER_HEARD: Mapping[str, float] = MappingProxyType({})
+
 RATE_DECAY_S = 1.0
-MAX_EXTRAPOLATION_S = 0.6
+SILENCE_MEMORY_S = 2.5
+"""Time after which assumed use of a silent source is mostly forgotten."""
+MIN_RATE_PER_S = 0.01
 LOW_LEVEL_SHARE_OF_BURST = 0.6
 LOW_LEVEL_AHEAD_S = 1.0
 """Time within which a level that is to become low counts as low."""
 REPORTING_DELAY_S = 1.0
 """Time in which admissions become known to all instances."""
+OVERUSE = 1.2
+"""Use as a multiple of the rate from which the rate is overused; reports come in lumps,
+so that usual use seems to exceed the rate now and then."""
+CONTINUED_OVERUSE = 0.9
 OVERUSE_MEMORY_S = 5.0
 MAX_RETRY_AFTER_S = 2.0
 TOLERANCE_DELAY_S = 1.5
@@ -28,16 +38,18 @@
     """Token bucket of a client account, replicated on every instance.
 
     Each attempt to run a request takes a token, also a repeated one. Attempts of this
-    instance do so immediately, those of other instances when they are reported. Between
-    two reports, the rate of another instance is extrapolated with an exponential decay.
-    The level may become negative: repeats, and admissions that were reported late, are
-    paid back before further requests are admitted. The debt from reports is limited to
-    ``MAX_DEBT_S`` seconds of the rate, so that a late report does not block the client
-    account for longer. A bucket starts empty and without tolerance, so that a restart
-    of all instances does not grant the burst twice.
+    instance do so immediately, those of other instances when they are reported. A
+    source that is silent is assumed to go on at its last rate, which decays. The tokens
+    that it is assumed to have taken do not come back before it is heard: one whose
+    reports are lost looks like one that takes none. The level may become negative:
+    repeats, and admissions that were reported late, are paid back before further
+    requests are admitted. The debt from reports is limited to ``MAX_DEBT_S`` seconds of
+    the rate, so that a late report does not block the client account for longer. A
+    bucket starts empty and without tolerance, so that a restart of all instances does
+    not grant the burst twice.
 
     All instances see the same few tokens until they learn of each other's admissions.
-    For ``OVERUSE_MEMORY_S`` after more than the rate was admitted, each therefore
+    For ``OVERUSE_MEMORY_S`` after much more than the rate was used, each therefore
     admits only a share of the requests, in proportion to the tokens left, once these
     would be refilled within ``REPORTING_DELAY_S``. Otherwise all would admit everything
     until the reports arrive, then nothing for seconds.
@@ -51,9 +63,19 @@
         the admissions since then are an estimate.
     now_s : float
         Monotonic time in seconds.
+    heard_at_s : mapping of str to float, optional
+        Monotonic time in seconds at which each source was last heard, also without a
+        report on this account; kept up to date by the caller.
     """
 
-    def __init__(self, rate_per_s: float, burst: float, tolerance: float, now_s: float):
+    def __init__(
+        self,
+        rate_per_s: float,
+        burst: float,
+        tolerance: float,
+        now_s: float,
+        heard_at_s: Mapping[str, float] = NEVER_HEARD,
+    ):
         self._rate_per_s = rate_per_s
         self._burst = burst
         self._tolerance = tolerance
@@ -63,6 +85,7 @@
         self._refilled_at_s = now_s
         self._admitted = 0
         self._charged = 0
+        self._heard_at_s = heard_at_s
         self._sources: dict[str, _Source] = {}
         self._used_rate_per_s = 0.0
         self._used_at_s = now_s
@@ -80,7 +103,13 @@
         self._burst = burst
         self._level = min(self._level, burst)
 
-    def allows(self, now_s: float, share: float = 1.0, draw: float = 0.0) -> bool:
+    def allows(
+        self,
+        now_s: float,
+        share: float = 1.0,
+        draw: float = 0.0,
+        heard_share: float = 1.0,
+    ) -> bool:
         """Return whether a token is available; :meth:`take` takes it.
 
         Parameters
@@ -93,6 +122,9 @@
         draw : float
             Random number from 0 to 1, which decides where a share of the requests is
             admitted.
+        heard_share : float
+            Share of the others' use that reports arrive of. No more of the requests
+            is admitted while the rate is overused.
         """
         self._refill(now_s)
         if self._share == 1.0 and share < 1.0:
@@ -102,7 +134,10 @@
         self._share = share
         self._level = min(self._level, max(0.0, self._burst * share))
         available = self._available(now_s)
-        return available >= 0 and draw < (available + 1) / self._ample_tokens(now_s)
+        if not self._is_overused(now_s):
+            return available >= 0
+        ample = max(1.0, self._rate_per_s * REPORTING_DELAY_S)
+        return available >= 0 and draw < min(1.0, (available + 1) / ample) * heard_share
 
     def take(self, now_s: float) -> None:
         """Take a token, also if none is available.
@@ -124,7 +159,9 @@
 
     def retry_after_s(self, now_s: float) -> float:
         """Return the expected time in seconds until all requests are admitted."""
-        missing = self._ample_tokens(now_s) - 1 - self._available(now_s)
+        ample = self._rate_per_s * REPORTING_DELAY_S - 1
+        missing = ample if self._is_overused(now_s) else 0.0
+        missing -= self._available(now_s)
         wait_s = missing / max(self._rate_per_s, 0.001)
         return min(MAX_RETRY_AFTER_S, max(0.05, wait_s))
 
@@ -171,14 +208,13 @@
         min_level = min(self._level, -self._rate_per_s * MAX_DEBT_S)
         self._level = max(self._level - gained, min_level)
         self._add_use(gained, now_s)
-        rate_per_s = _decayed_rate_per_s(known, now_s) + gained / RATE_DECAY_S
+        unheard_s = now_s - self._heard_at_s.get(source, known.reported_at_s)
+        gained_per_s = gained / max(RATE_DECAY_S, unheard_s)
+        rate_per_s = _decayed_rate_per_s(known, now_s) + gained_per_s
         self._sources[source] = _Source(admitted, rate_per_s, now_s)
 
-    def _ample_tokens(self, now_s) -> float:
-        """Return the number of tokens left from which all requests are admitted."""
-        if now_s >= self._overused_until_s:
-            return 1.0
-        return max(1.0, self._rate_per_s * REPORTING_DELAY_S)
+    def _is_overused(self, now_s) -> bool:
+        return now_s < self._overused_until_s
 
     def _available(self, now_s) -> float:
         """Return the tokens left besides the one that a request takes."""
@@ -193,7 +229,9 @@
         self._charged += count
         self._used_rate_per_s = self._used_per_s(now_s) + count / RATE_DECAY_S
         self._used_at_s = now_s
-        if self._used_rate_per_s > self._rate_per_s:
+        is_overused = self._is_overused(now_s)
+        excess = CONTINUED_OVERUSE if is_overused else OVERUSE
+        if self._used_rate_per_s > self._rate_per_s * excess:
             self._overused_until_s = now_s + OVERUSE_MEMORY_S
 
     def _required_level(self, now_s) -> float:
@@ -208,14 +246,25 @@
         self._refilled_at_s = max(self._refilled_at_s, now_s)
 
     def _unreported(self, now_s) -> float:
-        """Return the estimated admissions of others since their last reports."""
+        """Return the assumed use of others since they were last heard."""
         return sum(
-            _decayed_rate_per_s(source, now_s)
-            * min(now_s - source.reported_at_s, MAX_EXTRAPOLATION_S)
-            for source in self._sources.values()
+            _assumed_use(
+                source, self._heard_at_s.get(name, source.reported_at_s), now_s
+            )
+            for name, source in self._sources.items()
+            if source.rate_per_s > MIN_RATE_PER_S
         )
 
 
+def _assumed_use(source: _Source, heard_at_s: float, now_s: float) -> float:
+    """Return how many tokens a source may have taken since it was last heard."""
+    heard_at_s = max(source.reported_at_s, heard_at_s)
+    silent_s = max(0.0, now_s - heard_at_s)
+    used = _decayed_rate_per_s(source, heard_at_s) * RATE_DECAY_S
+    used *= 1.0 - math.exp(-silent_s / RATE_DECAY_S)
+    return used * math.exp(-silent_s / SILENCE_MEMORY_S)
+
+
 def _decayed_rate_per_s(source: _Source, now_s: float) -> float:
     """Return the estimated rate of a source, decayed since its last report."""
     elapsed_s = max(0.0, now_s - source.reported_at_s)
--- a/src/chervilpitch/policy/usage.py
+++ b/src/chervilpitch/policy/usage.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Optional
 
-__all__ = ["AccountUsage", "ReportedUsage", "UsageCounters"]
+__all__ = ["AccountUsage", "ContinuedUsage", "ReportedUsage", "UsageCounters"]
 
 
 class AccountUsage(NamedTuple):
@@ -62,6 +62,10 @@
         """Client accounts whose counters changed since they were sent."""
         return frozenset(self._unsent)
 
+    def count(self, account: str) -> int:
+        """Return the counter of a client account."""
+        return self._counts.get(account, 0)
+
     def add(self, account: str, count: int = 1) -> None:
         """Increase the counter of a client account."""
         self._counts[account] = self._counts.get(account, 0) + count
@@ -81,6 +85,74 @@
         self._unsent.update(self._counts)
 
 
+class ContinuedUsage:
+    """Counters that several instances report in turn, as one source.
+
+    Each of them adds up the same tokens, from another start. One that reports in the
+    place of another continues its counters, so that receivers miss and charge nothing
+    twice: they ignore a counter that is lower than the last one.
+
+    Parameters
+    ----------
+    counters : UsageCounters
+        Counters of this instance.
+    source : str
+        Name of the source until another instance is followed.
+
+    Examples
+    --------
+    >>> counters = UsageCounters()
+    >>> continued = ContinuedUsage(counters, "a")
+    >>> continued.follow("b", [AccountUsage("fitters", 40)])
+    >>> counters.add("fitters", 2)
+    >>> continued.source, continued.take_unsent()
+    ('b', (AccountUsage(account='fitters', admitted=42),))
+    """
+
+    def __init__(self, counters: UsageCounters, source: str):
+        self._counters = counters
+        self._source = source
+        self._offsets: dict[str, int] = {}
+        self._is_following = False
+
+    @property
+    def is_following(self) -> bool:
+        """Whether counters of another instance are continued."""
+        return self._is_following
+
+    @property
+    def source(self) -> str:
+        """Name under which the counters are reported."""
+        return self._source
+
+    def follow(self, source: str, usages: Iterable[AccountUsage]) -> None:
+        """Continue the counters that another instance reports.
+
+        Parameters
+        ----------
+        source : str
+            Name under which it reports them.
+        usages : iterable of AccountUsage
+            Counters that have changed.
+        """
+        self._is_following = True
+        if source != self._source:
+            self._source = source
+            self._offsets.clear()
+        for usage in usages:
+            own = self._counters.count(usage.account)
+            self._offsets[usage.account] = usage.admitted - own
+
+    def take_unsent(self) -> tuple[AccountUsage, ...]:
+        """Return the counters that changed, and mark them as sent."""
+        return tuple(
+            usage._replace(
+                admitted=max(0, usage.admitted + self._offsets.get(usage.account, 0))
+            )
+            for usage in self._counters.take_unsent()
+        )
+
+
 class ReportedUsage:
     """Counters that other instances report, as increases of a sum.
 
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -236,3 +236,32 @@
 def test_log_fields_are_not_redacted_as_secrets():
     fields = FleetBucket(10.0, 10.0, 0.0, 0.0).log_fields(10.0)
     assert not [name for name in fields if SECRET_NAME_PATTERN.search(name)]
+
+
+def test_silence_of_a_source_does_not_give_back_what_it_may_have_taken():
+    # Guards against QUOTA: instances whose reports were lost admitted a whole burst.
+    bucket = FleetBucket(10.0, 10.0, 0.0, 0.0)
+    bucket.add_report("a", 0, 5.0)
+    for step in range(1, 6):
+        bucket.add_report("a", step, 5.0 + step * 0.1)
+    just_silent, later = (
+        bucket.log_fields(5.5 + silent_s)["unreported"] for silent_s in (0.3, 1.2)
+    )
+    assert later > just_silent > 0
+
+
+def test_source_that_is_heard_without_a_report_is_not_assumed_to_go_on():
+    heard_at_s = {}
+    bucket = FleetBucket(10.0, 10.0, 0.0, 0.0, heard_at_s)
+    bucket.add_report("a", 0, 5.0)
+    bucket.add_report("a", 5, 5.1)
+    silent = bucket.log_fields(6.5)["unreported"]
+    heard_at_s["a"] = 6.5
+    assert bucket.log_fields(6.5)["unreported"] == 0 < silent
+
+
+@pytest.mark.parametrize(("draw", "expected"), [(0.2, True), (0.5, False)])
+def test_overused_rate_is_admitted_by_the_share_of_reports_that_arrive(draw, expected):
+    bucket, now_s = overused_bucket(tokens=15)
+    assert bucket.allows(now_s, draw=draw, heard_share=1 / 3) is expected
+    assert FleetBucket(10.0, 10.0, 0.0, 0.0).allows(5.0, draw=draw, heard_share=0.1)
