--- a/tests/gateway/test_rates_at_upstreams.py
+++ b/tests/gateway/test_rates_at_upstreams.py
@@ -110,3 +110,13 @@
     simulation = play(count, Faults(), seed, surge, restarted_share=share)
     run_at_s = [at_s for at_s, _ in simulation.upstreams.runs]
     assert max_in_window(run_at_s, WINDOW_S) <= allowed_in_window()
+
+
+@pytest.mark.parametrize(
+    ("count", "share", "seed", "loss"), [(100, 0.5, 29, 0.025), (294, 0.22, 12, 0.0)]
+)
+def test_restart_beside_resets_grants_no_more_than_the_rate(count, share, seed, loss):
+    # Guards against QUOTA at scale: both faults at once, with a surge.
+    simulation = play(count, RESETS, seed, surge, loss, restarted_share=share)
+    run_at_s = [at_s for at_s, _ in simulation.upstreams.runs]
+    assert max_in_window(run_at_s, WINDOW_S) <= allowed_in_window()
