--- a/src/chervilpitch/policy/quota.py
+++ b/src/chervilpitch/policy/quota.py
@@ -18,7 +18,7 @@
 """Time within which a level that is to become low counts as low."""
 REPORTING_DELAY_S = 1.0
 """Time in which admissions become known to all instances."""
-OVERUSE = 1.2
+OVERUSE = 1.1
 """Use as a multiple of the rate from which the rate is overused; reports come in lumps,
 so that usual use seems to exceed the rate now and then."""
 CONTINUED_OVERUSE = 0.9
